--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' document: reading, checking, writing.
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! The roles of the daemon and their settings.
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages and transport between processes of the fleet.
--- /dev/null
+++ b/crates/mulberryd/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder while the workspace is set up.
+fn main() {}
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! The HTTP interface towards operators.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Signals, health answers and metrics for the platform.
--- /dev/null
+++ b/crates/request/src/lib.rs
@@ -0,0 +1,1 @@
+//! The life of a request at an entry and at an agent.
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of an endpoint for a request.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins of a model engine and a plain service.
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,1 @@
+//! Journal segments and snapshots in one data folder.
