--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -127,6 +127,18 @@
         out.copy_from_slice(&hash.as_bytes()[..16]);
         Self(u128::from_le_bytes(out))
     }
+
+    /// Returns the lower half of the identifier.
+    #[must_use]
+    pub fn low(self) -> u64 {
+        u64::try_from(self.0 & u128::from(u64::MAX)).unwrap_or(0)
+    }
+
+    /// Returns the upper half of the identifier.
+    #[must_use]
+    pub fn high(self) -> u64 {
+        u64::try_from(self.0 >> 64).unwrap_or(0)
+    }
 }
 
 impl fmt::Debug for RequestId {
--- /dev/null
+++ b/crates/fleet/src/keys.rs
@@ -0,0 +1,187 @@
+//! The fleet's authority and the processes' certificates.
+//!
+//! Every process shows a certificate of the fleet's authority and accepts no
+//! peer without one. Files are read anew on [`crate::Node::rotate`].
+
+use std::fs;
+use std::path::Path;
+use std::sync::Arc;
+
+use rcgen::BasicConstraints;
+use rcgen::CertificateParams;
+use rcgen::CertifiedIssuer;
+use rcgen::DnType;
+use rcgen::ExtendedKeyUsagePurpose;
+use rcgen::IsCa;
+use rcgen::Issuer;
+use rcgen::KeyPair;
+use rcgen::KeyUsagePurpose;
+use rustls::RootCertStore;
+use rustls::pki_types::CertificateDer;
+use rustls::pki_types::PrivateKeyDer;
+use rustls::pki_types::pem::PemObject;
+use rustls::server::WebPkiClientVerifier;
+
+use crate::error::FleetError;
+
+/// The name that every certificate of a fleet carries.
+pub const FLEET_NAME: &str = "fleet.internal";
+
+const AUTHORITY_CERT: &str = "authority.pem";
+const AUTHORITY_KEY: &str = "authority.key";
+
+/// A process's keys.
+#[derive(Debug)]
+pub struct Keys {
+    roots: Arc<RootCertStore>,
+    chain: Vec<CertificateDer<'static>>,
+    key: PrivateKeyDer<'static>,
+}
+
+impl Clone for Keys {
+    fn clone(&self) -> Self {
+        Self {
+            roots: Arc::clone(&self.roots),
+            chain: self.chain.clone(),
+            key: self.key.clone_key(),
+        }
+    }
+}
+
+fn fault(path: &Path, reason: &dyn ToString) -> FleetError {
+    FleetError::Keys {
+        path: path.to_owned(),
+        reason: reason.to_string(),
+    }
+}
+
+fn write(path: &Path, text: &str) -> Result<(), FleetError> {
+    fs::write(path, text).map_err(|e| fault(path, &e))
+}
+
+fn write_secret(path: &Path, text: &str) -> Result<(), FleetError> {
+    use std::os::unix::fs::PermissionsExt as _;
+    write(path, text)?;
+    let mode = fs::Permissions::from_mode(0o600);
+    fs::set_permissions(path, mode).map_err(|e| fault(path, &e))
+}
+
+fn authority_params() -> CertificateParams {
+    let mut params = CertificateParams::default();
+    params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+    params.key_usages = vec![KeyUsagePurpose::KeyCertSign, KeyUsagePurpose::CrlSign];
+    params
+        .distinguished_name
+        .push(DnType::CommonName, "mulberrytally fleet authority");
+    params
+}
+
+/// Makes the authority of a new fleet in `folder`.
+///
+/// # Errors
+///
+/// Fails where there is one already or the files can't be written.
+pub fn make_authority(folder: &Path) -> Result<(), FleetError> {
+    let cert_path = folder.join(AUTHORITY_CERT);
+    if cert_path.exists() {
+        return Err(fault(&cert_path, &"an authority is there already"));
+    }
+    let key = KeyPair::generate().map_err(|e| fault(&cert_path, &e))?;
+    let secret = key.serialize_pem();
+    let issuer = CertifiedIssuer::self_signed(authority_params(), key);
+    let issuer = issuer.map_err(|e| fault(&cert_path, &e))?;
+    write(&cert_path, &issuer.pem())?;
+    write_secret(&folder.join(AUTHORITY_KEY), &secret)
+}
+
+/// Makes a certificate and key for the process `name` in `folder`.
+///
+/// # Errors
+///
+/// Fails where the authority can't be read or the files can't be written.
+pub fn make_process(folder: &Path, name: &str) -> Result<(), FleetError> {
+    let key_path = folder.join(AUTHORITY_KEY);
+    let secret = fs::read_to_string(&key_path).map_err(|e| fault(&key_path, &e))?;
+    let authority = KeyPair::from_pem(&secret).map_err(|e| fault(&key_path, &e))?;
+    let issuer = Issuer::new(authority_params(), authority);
+    let names = vec![FLEET_NAME.to_owned(), format!("{name}.{FLEET_NAME}")];
+    let path = folder.join(format!("{name}.pem"));
+    let mut params = CertificateParams::new(names).map_err(|e| fault(&path, &e))?;
+    params.distinguished_name.push(DnType::CommonName, name);
+    params.extended_key_usages = vec![
+        ExtendedKeyUsagePurpose::ServerAuth,
+        ExtendedKeyUsagePurpose::ClientAuth,
+    ];
+    let key = KeyPair::generate().map_err(|e| fault(&path, &e))?;
+    let cert = params
+        .signed_by(&key, &issuer)
+        .map_err(|e| fault(&path, &e))?;
+    write(&path, &cert.pem())?;
+    write_secret(&folder.join(format!("{name}.key")), &key.serialize_pem())
+}
+
+impl Keys {
+    /// Reads the keys of the process `name` from `folder`.
+    ///
+    /// # Errors
+    ///
+    /// Fails where a file is missing or can't be read.
+    pub fn open(folder: &Path, name: &str) -> Result<Self, FleetError> {
+        let authority = folder.join(AUTHORITY_CERT);
+        let mut roots = RootCertStore::empty();
+        let certs = CertificateDer::pem_file_iter(&authority).map_err(|e| fault(&authority, &e))?;
+        for cert in certs {
+            let cert = cert.map_err(|e| fault(&authority, &e))?;
+            roots.add(cert).map_err(|e| fault(&authority, &e))?;
+        }
+        let path = folder.join(format!("{name}.pem"));
+        let certs = CertificateDer::pem_file_iter(&path).map_err(|e| fault(&path, &e))?;
+        let chain: Result<Vec<CertificateDer<'static>>, _> = certs.collect();
+        let chain = chain.map_err(|e| fault(&path, &e))?;
+        let path = folder.join(format!("{name}.key"));
+        let key = PrivateKeyDer::from_pem_file(&path).map_err(|e| fault(&path, &e))?;
+        Ok(Self {
+            roots: Arc::new(roots),
+            chain,
+            key,
+        })
+    }
+
+    /// Returns the settings of connections that this process takes.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the certificate and key don't belong together.
+    pub fn server(&self) -> Result<rustls::ServerConfig, FleetError> {
+        let path = Path::new("keys");
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let verifier = WebPkiClientVerifier::builder_with_provider(
+            Arc::clone(&self.roots),
+            Arc::clone(&provider),
+        )
+        .build()
+        .map_err(|e| fault(path, &e))?;
+        rustls::ServerConfig::builder_with_provider(provider)
+            .with_protocol_versions(&[&rustls::version::TLS13])
+            .map_err(|e| fault(path, &e))?
+            .with_client_cert_verifier(verifier)
+            .with_single_cert(self.chain.clone(), self.key.clone_key())
+            .map_err(|e| fault(path, &e))
+    }
+
+    /// Returns the settings of connections that this process makes.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the certificate and key don't belong together.
+    pub fn client(&self) -> Result<rustls::ClientConfig, FleetError> {
+        let path = Path::new("keys");
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        rustls::ClientConfig::builder_with_provider(provider)
+            .with_protocol_versions(&[&rustls::version::TLS13])
+            .map_err(|e| fault(path, &e))?
+            .with_root_certificates(Arc::clone(&self.roots))
+            .with_client_auth_cert(self.chain.clone(), self.key.clone_key())
+            .map_err(|e| fault(path, &e))
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/runtime.rs
@@ -0,0 +1,42 @@
+//! The transport's use of the worker pool.
+
+use std::future::Future;
+use std::io;
+use std::net::UdpSocket;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Instant;
+
+use platform::Pool;
+use quinn::AsyncTimer;
+use quinn::AsyncUdpSocket;
+use quinn::Runtime;
+use quinn::SmolRuntime;
+
+/// Runs the transport's tasks on the process's own pool.
+#[derive(Debug)]
+pub struct PoolRuntime {
+    pool: Pool,
+}
+
+impl PoolRuntime {
+    /// Returns the runtime on `pool`.
+    #[must_use]
+    pub fn new(pool: &Pool) -> Arc<Self> {
+        Arc::new(Self { pool: pool.clone() })
+    }
+}
+
+impl Runtime for PoolRuntime {
+    fn new_timer(&self, at: Instant) -> Pin<Box<dyn AsyncTimer>> {
+        SmolRuntime.new_timer(at)
+    }
+
+    fn spawn(&self, future: Pin<Box<dyn Future<Output = ()> + Send>>) {
+        self.pool.spawn(future);
+    }
+
+    fn wrap_udp_socket(&self, socket: UdpSocket) -> io::Result<Arc<dyn AsyncUdpSocket>> {
+        SmolRuntime.wrap_udp_socket(socket)
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,18 @@
-//! Signals, health answers and metrics for the platform.
+//! What the platform gives a process and asks of it.
+//!
+//! - [`health`]: answers for the balancer.
+//! - [`http`]: serving HTTP with bounds on bodies, times and connections.
+//! - [`logs`]: structured logs with a prefix for each part.
+//! - [`metrics`]: the Prometheus page.
+//! - [`pool`]: the worker pool.
+//! - [`signals`]: orders to stop.
+
+pub mod health;
+pub mod http;
+pub mod logs;
+pub mod metrics;
+pub mod pool;
+pub mod signals;
+
+pub use crate::health::Health;
+pub use crate::pool::Pool;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,1 +1,29 @@
 //! Choice of an endpoint for a request.
+//!
+//! - [`limit`]: the number of requests that an endpoint takes, adapted.
+//! - [`membership`]: the endpoints that announce themselves to a keeper.
+//! - [`prefix`]: which endpoints are likely to cache a prompt's prefix.
+//! - [`queue`]: waiting requests, by priority and fair between teams.
+//! - [`retry`]: the budget for retries.
+//! - [`table`]: the known endpoints and the choice among them.
+
+pub mod limit;
+pub mod membership;
+pub mod prefix;
+pub mod queue;
+pub mod retry;
+pub mod table;
+
+pub use crate::limit::Limit;
+pub use crate::membership::Announce;
+pub use crate::membership::Delta;
+pub use crate::membership::Registry;
+pub use crate::prefix::Prefixes;
+pub use crate::queue::Queue;
+pub use crate::retry::RetryBudget;
+pub use crate::table::Choice;
+pub use crate::table::Info;
+pub use crate::table::Load;
+pub use crate::table::Slot;
+pub use crate::table::Table;
+pub use crate::table::Wish;
