--- a/crates/caller/src/chat.rs
+++ b/crates/caller/src/chat.rs
@@ -132,7 +132,7 @@
     match end {
         End::Stop => "stop",
         End::Length => "length",
-        End::Cancelled | End::Failed => "error",
+        End::Cancelled | End::Failed | End::NotRun => "error",
     }
 }
 
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -157,6 +157,12 @@
     /// True or false.
     #[error("true or false")]
     Flag,
+    /// Engine or service.
+    #[error("engine or service")]
+    EndpointKind,
+    /// An IP address with a port.
+    #[error("an IP address with a port")]
+    Address,
 }
 
 /// What the verifier needs to know of the world besides the document.
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`patch`]: the difference between two documents.
 //! - [`read`]: from YAML or JSON.
 //! - [`register`]: acceptance by compare-and-set, as a replicated state.
+//! - [`tree`]: a walk through YAML or JSON that collects every fault.
 //! - [`write`]: the canonical form and its digest.
 
 pub mod check;
@@ -12,6 +13,7 @@
 pub mod patch;
 pub mod read;
 pub mod register;
+pub mod tree;
 pub mod write;
 
 pub use crate::check::Fault;
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -186,6 +186,12 @@
         self.role
     }
 
+    /// Returns what must survive a restart besides the entries.
+    #[must_use]
+    pub fn saved(&self) -> Saved {
+        self.saved
+    }
+
     /// Returns the latest term seen.
     #[must_use]
     pub fn term(&self) -> u64 {
--- /dev/null
+++ b/crates/daemon/src/agent/run.rs
@@ -0,0 +1,359 @@
+//! One request at the endpoint.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use base::RequestId;
+use base::Tokens;
+use engine::Chat;
+use engine::EngineError;
+use engine::Event;
+use engine::Stream;
+use fleet::node::FrameSender;
+use fleet::wire::Open;
+use ledger::Receipt;
+use request::Body;
+use request::End;
+use request::Frame;
+use request::Order;
+use request::Refusal;
+use request::Spool;
+use request::Work;
+use request::gate::Admission;
+use service::Call;
+
+use super::Agent;
+
+/// A request that runs or ran here.
+pub struct Run {
+    order: Order,
+    spool: Mutex<Spool>,
+    grown: Notify,
+    cancelled: AtomicBool,
+}
+
+/// Wakes the streams of a run.
+#[derive(Default)]
+struct Notify {
+    waiting: Mutex<Vec<async_channel::Sender<()>>>,
+}
+
+impl Notify {
+    fn wait(&self) -> async_channel::Receiver<()> {
+        let (sender, receiver) = async_channel::bounded(1);
+        let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+        waiting.push(sender);
+        receiver
+    }
+
+    fn wake(&self) {
+        // Dropping a sender wakes its receiver.
+        let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+        waiting.clear();
+    }
+}
+
+impl Run {
+    /// Returns the run of an order that was just admitted.
+    #[must_use]
+    pub fn new(order: &Order) -> Self {
+        let prefix = match &order.work {
+            Work::Chat { prefix, .. } => prefix.as_bytes(),
+            Work::Call { .. } => &[],
+        };
+        Self {
+            spool: Mutex::new(Spool::after(prefix, order.done)),
+            order: order.clone(),
+            grown: Notify::default(),
+            cancelled: AtomicBool::new(false),
+        }
+    }
+
+    /// Asks the run to end early.
+    pub fn cancel(&self) {
+        self.cancelled.store(true, Ordering::Relaxed);
+    }
+
+    fn cancelled(&self) -> bool {
+        self.cancelled.load(Ordering::Relaxed)
+    }
+
+    fn spool(&self) -> MutexGuard<'_, Spool> {
+        self.spool.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn push(&self, bytes: &[u8]) -> bool {
+        let taken = self.spool().push(bytes);
+        self.grown.wake();
+        taken
+    }
+
+    /// Returns the next part, or what to wait for.
+    fn next(&self, offset: u64) -> Result<Body, async_channel::Receiver<()>> {
+        let spool = self.spool();
+        spool.next(offset).ok_or_else(|| self.grown.wait())
+    }
+}
+
+/// Serves a stream of frames to an entry.
+pub async fn serve(agent: &Agent, open: Open, frames: FrameSender) {
+    match open {
+        Open::Run(order) => {
+            let now = agent.context.clock.now();
+            let (admission, run) = agent.tables.admit(&order, now);
+            let offset = match &order.work {
+                Work::Chat { prefix, .. } => prefix.len() as u64,
+                Work::Call { .. } => 0,
+            };
+            match (admission, run) {
+                (Admission::Start, Some(run)) => {
+                    let task = perform(agent.clone(), Arc::clone(&run));
+                    agent.context.pool.spawn(task);
+                    stream(&run, order.request, order.attempt, offset, frames).await;
+                }
+                (Admission::Join(_), Some(run)) => {
+                    stream(&run, order.request, order.attempt, offset, frames).await;
+                }
+                (Admission::Refuse(refusal), _) => {
+                    refuse(order.request, order.attempt, refusal, frames).await;
+                }
+                (_, None) => refuse(order.request, order.attempt, Refusal::Absent, frames).await,
+            }
+        }
+        Open::Attach {
+            request,
+            digest,
+            attempt,
+            offset,
+        } => match agent.tables.run(request) {
+            Some(run) if run.order.digest == digest => {
+                stream(&run, request, attempt, offset, frames).await;
+            }
+            Some(_) => refuse(request, attempt, Refusal::OtherBody, frames).await,
+            None => refuse(request, attempt, Refusal::Absent, frames).await,
+        },
+    }
+}
+
+async fn refuse(request: RequestId, attempt: u32, refusal: Refusal, mut frames: FrameSender) {
+    let frame = Frame {
+        request,
+        attempt,
+        body: Body::Refused(refusal),
+    };
+    if frames.send(&frame).await.is_ok() {
+        frames.finish();
+    }
+}
+
+async fn stream(run: &Run, request: RequestId, attempt: u32, start: u64, mut frames: FrameSender) {
+    let mut offset = start;
+    loop {
+        let body = match run.next(offset) {
+            Ok(body) => body,
+            Err(grown) => {
+                // The channel closes when the spool has grown.
+                let _ = grown.recv().await;
+                continue;
+            }
+        };
+        let last = matches!(body, Body::Final(_));
+        if let Body::Piece { bytes, .. } = &body {
+            offset += bytes.len() as u64;
+        }
+        let frame = Frame {
+            request,
+            attempt,
+            body,
+        };
+        if frames.send(&frame).await.is_err() {
+            return;
+        }
+        if last {
+            frames.finish();
+            return;
+        }
+    }
+}
+
+/// What a run used.
+struct Used {
+    end: End,
+    prompt: Tokens,
+    answer: Tokens,
+    status: u16,
+    media: String,
+}
+
+impl Used {
+    fn failed() -> Self {
+        Self::without(End::Failed)
+    }
+
+    /// Returns the end that fits an error of the endpoint.
+    fn after(error: &EngineError) -> Self {
+        // These statuses come before a request is begun.
+        let refused = matches!(error, EngineError::Status(404 | 429 | 503));
+        if error.never_sent() || refused {
+            Self::without(End::NotRun)
+        } else {
+            Self::failed()
+        }
+    }
+
+    fn without(end: End) -> Self {
+        Self {
+            end,
+            prompt: Tokens::ZERO,
+            answer: Tokens::ZERO,
+            status: 0,
+            media: String::new(),
+        }
+    }
+}
+
+async fn perform(agent: Agent, run: Arc<Run>) {
+    let order = &run.order;
+    let used = match &order.work {
+        Work::Chat { .. } => chat(&agent, &run).await,
+        Work::Call { .. } => call(&agent, &run).await,
+    };
+    let billed = !matches!(used.end, End::Failed | End::NotRun);
+    let receipt = billed.then(|| Receipt {
+        lease: order.lease,
+        request: order.request,
+        team: order.team,
+        amount: used.prompt.plus(used.answer),
+    });
+    let now = agent.context.clock.now();
+    // The receipt is kept before anybody can see the end.
+    let kept = billed || (!order.repeatable && used.end != End::NotRun);
+    let owed = receipt.map(|receipt| (order.keeper, receipt));
+    agent.tables.finish(order.request, kept, owed, now);
+    run.spool()
+        .finish(used.end, used.prompt, used.answer, used.status, &used.media);
+    run.grown.wake();
+}
+
+async fn chat(agent: &Agent, run: &Run) -> Used {
+    let order = &run.order;
+    let Work::Chat {
+        model,
+        messages,
+        prefix,
+    } = &order.work
+    else {
+        return Used::failed();
+    };
+    let Ok(messages) = serde_json::from_str(messages) else {
+        return Used::failed();
+    };
+    let chat = Chat {
+        id: order.request.to_string(),
+        model: model.clone(),
+        messages,
+        max_tokens: order.cap.less(order.done).0,
+        prefix: prefix.clone(),
+        priority: order.priority,
+        stream: true,
+    };
+    let stall = Duration::from_millis(agent.settings.stall_ms);
+    let used = answer_chat(agent, run, &chat, stall).await;
+    used.unwrap_or_else(|error| {
+        log::warn!("agent: {} failed at the endpoint: {error}", order.request);
+        Used::after(&error)
+    })
+}
+
+async fn answer_chat(
+    agent: &Agent,
+    run: &Run,
+    chat: &Chat,
+    stall: Duration,
+) -> Result<Used, EngineError> {
+    let order = &run.order;
+    let address = agent.settings.endpoint;
+    let mut stream = Stream::open(address, chat, stall).await?;
+    let mut generated = 0;
+    loop {
+        if run.cancelled() {
+            // The engine may ignore it; the connection is dropped all the same.
+            let _ = engine::control::cancel(address, &chat.id).await;
+            return Ok(Used {
+                end: End::Cancelled,
+                prompt: order.prompt,
+                answer: order.done.plus(Tokens(generated)),
+                ..Used::failed()
+            });
+        }
+        match stream.next().await? {
+            Event::Text(text) => {
+                generated += 1;
+                // More than was ordered, or more than fits, is no answer of ours.
+                if generated > chat.max_tokens || !run.push(text.as_bytes()) {
+                    return Err(EngineError::Broken("too long an answer".to_owned()));
+                }
+            }
+            Event::End {
+                capped,
+                prompt,
+                answer,
+            } => {
+                if answer != generated {
+                    return Err(EngineError::Broken("tokens were repeated".to_owned()));
+                }
+                return Ok(Used {
+                    end: if capped { End::Length } else { End::Stop },
+                    prompt: Tokens(prompt).min(order.prompt),
+                    answer: order.done.plus(Tokens(answer)),
+                    ..Used::failed()
+                });
+            }
+        }
+    }
+}
+
+async fn call(agent: &Agent, run: &Run) -> Used {
+    let order = &run.order;
+    let Work::Call {
+        method,
+        path,
+        media,
+        body,
+    } = &order.work
+    else {
+        return Used::failed();
+    };
+    let call = Call {
+        method,
+        path,
+        media,
+        body,
+    };
+    let patience = Duration::from(order.patience);
+    match service::run(agent.settings.endpoint, &call, patience).await {
+        Ok(reply) => {
+            run.push(&reply.body);
+            Used {
+                end: End::Stop,
+                prompt: order.prompt,
+                answer: Tokens::ZERO,
+                status: reply.status,
+                media: reply.media,
+            }
+        }
+        Err(error) => {
+            log::warn!("agent: {} failed at the service: {error}", order.request);
+            if error.never_sent() {
+                Used::without(End::NotRun)
+            } else {
+                Used::failed()
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/acquire.rs
@@ -0,0 +1,112 @@
+//! An endpoint with room, or a wait for one.
+
+use std::time::Duration;
+
+use async_io::Timer;
+use base::EndpointId;
+use base::Span;
+use base::Time;
+use futures_lite::FutureExt as _;
+use request::NotRun;
+use routing::Choice;
+use routing::Slot;
+use routing::queue::Entrant;
+
+use super::Entry;
+use super::drive::Job;
+use super::tables::Chosen;
+use super::tables::named;
+
+/// Time between two looks at the queue.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// Requests woken at one look.
+const WOKEN: usize = 16;
+
+/// Part of the mean that one request's duration moves.
+const MEAN_WEIGHT: u64 = 16;
+
+/// Returns an endpoint that has room, at the latest by the job's deadline.
+///
+/// # Errors
+///
+/// Fails where none serves the job or none can have room in time.
+pub async fn acquire(entry: &Entry, job: &Job, avoid: &[EndpointId]) -> Result<Chosen, NotRun> {
+    loop {
+        let now = entry.context.clock.now();
+        for serves in &job.serves {
+            match entry.tables.choose(serves, job.prefix, avoid, now) {
+                Ok(chosen) => return Ok(chosen),
+                Err(Choice::Full) => {}
+                Err(Choice::None | Choice::Endpoint(..)) if job.serves.len() > 1 => {}
+                Err(Choice::None | Choice::Endpoint(..)) => return Err(NotRun::NoEndpoint),
+            }
+        }
+        wait(entry, job, now).await?;
+    }
+}
+
+async fn wait(entry: &Entry, job: &Job, now: Time) -> Result<(), NotRun> {
+    let left = now.until(job.deadline);
+    let (sender, woken) = async_channel::bounded(1);
+    {
+        let mut endpoints = entry.tables.endpoints();
+        let serves = job.serves.first().map_or(0, |name| named(name));
+        let room = u64::from(endpoints.table.capacity(serves, now));
+        let ahead = endpoints.queue.len() as u64 + 1;
+        // What waits ahead must have been served before the deadline.
+        let expected = Span(endpoints.mean.0.saturating_mul(ahead) / room.max(1));
+        if room == 0 || expected > left {
+            return Err(NotRun::Overload);
+        }
+        let entrant = Entrant {
+            team: job.member.id,
+            weight: job.member.weight,
+            priority: job.member.priority,
+            deadline: job.deadline,
+            cost: job.amount().0,
+        };
+        let pushed = endpoints.queue.push(&entrant, sender);
+        pushed.map_err(|_| NotRun::Overload)?;
+    }
+    entry.meter.queued.inc();
+    let wake = async {
+        // The sender is dropped when the wait is given up.
+        woken.recv().await.map_err(|_| NotRun::Deadline)
+    };
+    let late = async {
+        Timer::after(left.into()).await;
+        Err(NotRun::Deadline)
+    };
+    wake.or(late).await
+}
+
+/// Notes that a request has left an endpoint after `took`, and wakes the next.
+pub fn done(entry: &Entry, slot: Slot, took: Span) {
+    let mut endpoints = entry.tables.endpoints();
+    endpoints.table.done(slot);
+    let mean = endpoints.mean.0;
+    endpoints.mean = Span(mean - mean / MEAN_WEIGHT + took.0 / MEAN_WEIGHT);
+    if let Some(next) = endpoints.queue.pop() {
+        let _ = next.try_send(());
+    }
+}
+
+/// Gives up waits that came too late, and wakes some: room may have been found.
+pub async fn serve_queue(entry: Entry) {
+    loop {
+        Timer::after(LOOK).await;
+        let now = entry.context.clock.now();
+        let mut endpoints = entry.tables.endpoints();
+        if endpoints.queue.is_empty() {
+            continue;
+        }
+        drop(endpoints.queue.expire(now));
+        for _ in 0..WOKEN {
+            let Some(next) = endpoints.queue.pop() else {
+                break;
+            };
+            let _ = next.try_send(());
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/budget.rs
@@ -0,0 +1,487 @@
+//! Leases, grants, reservations and receipts.
+//!
+//! An entry holds one current wallet and older ones that still hold grants or
+//! reservations. A wallet belongs to one keeper; when that keeper falls silent, a
+//! new wallet is opened at the next one and the older goes on while it lasts.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use async_io::Timer;
+use base::EntryId;
+use base::KeeperId;
+use base::LeaseId;
+use base::Map;
+use base::RequestId;
+use base::Span;
+use base::TeamId;
+use base::Time;
+use base::Tokens;
+use fleet::Answer;
+use fleet::Ask;
+use fleet::wire::Demand;
+use fleet::wire::Draw;
+use fleet::wire::Granted;
+use ledger::Bill;
+use ledger::Receipt;
+use ledger::Wallet;
+use ledger::wallet::Reserve;
+
+use super::Entry;
+use super::tables::lock;
+use crate::settings::Peer;
+
+/// Time between two renewals.
+const RENEW: Duration = Duration::from_millis(250);
+
+/// Time between two deliveries of receipts.
+const DELIVER: Duration = Duration::from_millis(25);
+
+/// How long a wallet is used before a new one is opened.
+const ROLL: Span = Span::secs(300);
+
+/// How long a team's tokens lie idle before they are given back.
+const IDLE: Span = Span::secs(5);
+
+/// Longest wait for a keeper to answer a draw.
+const DRAW_WAIT: Span = Span::millis(900);
+
+/// Longest wait for a keeper's answer.
+const KEEPER_WAIT: Span = Span::millis(1_500);
+
+/// How long an unknown outcome is waited for before it's billed by what came.
+const DOUBT: Span = Span::secs(60);
+
+/// Most receipts delivered together.
+const MAX_RECEIPTS: usize = 2_048;
+
+/// A reservation that a request holds.
+#[derive(Clone, Copy, Debug)]
+pub struct Held {
+    /// The lease.
+    pub lease: LeaseId,
+    /// The keeper of the lease.
+    pub keeper: KeeperId,
+    /// How much longer the lease lasts.
+    pub left: Span,
+}
+
+/// Why no reservation is held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lack {
+    /// Tokens are missing.
+    Short,
+    /// No lease is in force.
+    NoLease,
+}
+
+struct Pouch {
+    keeper: Peer,
+    wallet: Wallet,
+    opened: Time,
+    used: Map<TeamId, Time>,
+    closing: bool,
+}
+
+struct Doubt {
+    lease: LeaseId,
+    receipt: Receipt,
+    since: Time,
+}
+
+struct State {
+    pouches: Vec<Pouch>,
+    keepers: Vec<Peer>,
+    next: usize,
+    owed: Vec<(KeeperId, Receipt)>,
+    doubts: Vec<Doubt>,
+}
+
+/// An entry's leases.
+pub struct Budget {
+    id: EntryId,
+    state: Mutex<State>,
+}
+
+impl Budget {
+    /// Returns the empty budget of an entry; keepers of its own domain come first.
+    #[must_use]
+    pub fn new(id: EntryId, domain: &str, keepers: &[Peer]) -> Self {
+        let mut keepers = keepers.to_vec();
+        keepers.sort_by_key(|peer| (peer.domain != domain, u64::from(peer.number.0) ^ id.0));
+        let state = State {
+            pouches: Vec::new(),
+            keepers,
+            next: 0,
+            owed: Vec::new(),
+            doubts: Vec::new(),
+        };
+        Self {
+            id,
+            state: Mutex::new(state),
+        }
+    }
+
+    /// Returns the open reservations.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        let state = lock(&self.state);
+        state.pouches.iter().map(|pouch| pouch.wallet.open()).sum()
+    }
+
+    /// Returns whether receipts are still to be answered.
+    #[must_use]
+    pub fn owes(&self) -> bool {
+        !lock(&self.state).owed.is_empty()
+    }
+
+    /// Reserves tokens under any lease that lasts.
+    ///
+    /// # Errors
+    ///
+    /// Fails where tokens are missing or no lease is in force.
+    pub fn reserve(
+        &self,
+        request: RequestId,
+        team: TeamId,
+        amount: Tokens,
+        now: Time,
+    ) -> Result<Held, Lack> {
+        let mut state = lock(&self.state);
+        let mut lack = Lack::NoLease;
+        let usable = state.pouches.iter_mut().rev().filter(|p| !p.closing);
+        for pouch in usable {
+            match pouch.wallet.reserve(request, team, amount, now) {
+                Reserve::Held | Reserve::Repeated => {
+                    pouch.used.insert(team, now);
+                    return Ok(Held {
+                        lease: pouch.wallet.lease(),
+                        keeper: pouch.keeper.number,
+                        left: pouch.wallet.left(now),
+                    });
+                }
+                Reserve::Short(_) => lack = Lack::Short,
+                Reserve::Lapsed => {}
+            }
+        }
+        Err(lack)
+    }
+
+    /// Frees the reservation of a request that did not run.
+    pub fn release(&self, request: RequestId) {
+        let mut state = lock(&self.state);
+        for pouch in &mut state.pouches {
+            pouch.wallet.release(request);
+        }
+    }
+
+    /// Owes a receipt for a request that ran; its reservation stays until the
+    /// keeper has answered.
+    pub fn owe(&self, held: &Held, receipt: Receipt) {
+        lock(&self.state).owed.push((held.keeper, receipt));
+    }
+
+    /// Keeps the reservation of a request whose outcome is unknown.
+    pub fn doubt(&self, held: &Held, receipt: Receipt, now: Time) {
+        lock(&self.state).doubts.push(Doubt {
+            lease: held.lease,
+            receipt,
+            since: now,
+        });
+    }
+
+    /// Gives back unreserved tokens that another request needs.
+    pub fn recall(&self, team: TeamId, need: Tokens) -> Answer {
+        let mut state = lock(&self.state);
+        let richest = state
+            .pouches
+            .iter_mut()
+            .max_by_key(|pouch| pouch.wallet.purse(team).free());
+        let Some(pouch) = richest else {
+            return Answer::Unavailable;
+        };
+        let total = pouch.wallet.give_back(team, need);
+        Answer::Returned(pouch.wallet.lease(), total)
+    }
+
+    /// Returns the current lease and its keeper, opening one where there is none.
+    fn current(&self, now: Time) -> Option<(LeaseId, Peer)> {
+        let mut state = lock(&self.state);
+        let fresh = state.pouches.last().is_none_or(|pouch| pouch.closing);
+        if fresh {
+            state.open(self.id, now)?;
+        }
+        let pouch = state.pouches.last()?;
+        Some((pouch.wallet.lease(), pouch.keeper.clone()))
+    }
+
+    /// Opens a wallet at the next keeper, as the present one doesn't answer.
+    fn switch(&self, lease: LeaseId, now: Time) {
+        let mut state = lock(&self.state);
+        let current = state.pouches.last().map(|pouch| pouch.wallet.lease());
+        if current == Some(lease) && state.keepers.len() > 1 {
+            state.next = (state.next + 1) % state.keepers.len();
+            state.open(self.id, now);
+        }
+    }
+
+    /// Returns the renewals that are due, as they are sent.
+    fn renewals(&self, now: Time) -> Vec<(Draw, Peer)> {
+        let mut state = lock(&self.state);
+        state.roll(self.id, now);
+        let mut draws = Vec::new();
+        for pouch in &mut state.pouches {
+            draws.push((pouch.renewal(now), pouch.keeper.clone()));
+        }
+        draws
+    }
+
+    fn renewed(&self, lease: LeaseId, sent: Time, granted: &[Granted]) {
+        let mut state = lock(&self.state);
+        if let Some(pouch) = state.pouch(lease) {
+            pouch.wallet.renewed(sent);
+            for grant in granted {
+                pouch.wallet.granted(grant.team, grant.total);
+            }
+        }
+    }
+
+    fn ended(&self, lease: LeaseId) {
+        let mut state = lock(&self.state);
+        if let Some(pouch) = state.pouch(lease) {
+            pouch.closing = true;
+        }
+        state
+            .pouches
+            .retain(|pouch| pouch.wallet.lease() != lease || pouch.wallet.open() > 0);
+    }
+
+    fn demand(&self, lease: LeaseId, team: TeamId, need: Tokens) -> Option<Demand> {
+        let mut state = lock(&self.state);
+        let pouch = state.pouch(lease)?;
+        let purse = pouch.wallet.purse(team);
+        Some(Demand {
+            team,
+            need: need.less(purse.free()),
+            extra: need,
+            returned: purse.returned,
+        })
+    }
+
+    fn owed(&self, keeper: KeeperId) -> Vec<Receipt> {
+        let state = lock(&self.state);
+        let own = state.owed.iter().filter(|(to, _)| *to == keeper);
+        own.take(MAX_RECEIPTS).map(|(_, r)| *r).collect()
+    }
+
+    fn billed(&self, keeper: KeeperId, receipts: &[Receipt], bills: &[Bill]) {
+        let mut state = lock(&self.state);
+        for (receipt, bill) in receipts.iter().zip(bills) {
+            state
+                .owed
+                .retain(|(to, owed)| *to != keeper || owed != receipt);
+            let Some(pouch) = state.pouch(receipt.lease) else {
+                continue;
+            };
+            match bill {
+                Bill::Billed(amount) => pouch.wallet.settle(receipt.request, *amount),
+                Bill::Closed => {}
+                Bill::Overdrawn => {
+                    log::error!("entry: the keeper can't cover {}", receipt.request);
+                }
+            }
+        }
+    }
+
+    /// Turns doubts that lasted too long into receipts.
+    fn settle_doubts(&self, now: Time) {
+        let mut state = lock(&self.state);
+        let (old, young) = std::mem::take(&mut state.doubts)
+            .into_iter()
+            .partition(|doubt| now.since(doubt.since) >= DOUBT);
+        state.doubts = young;
+        let old: Vec<Doubt> = old;
+        for doubt in old {
+            if let Some(pouch) = state.pouch(doubt.lease) {
+                let keeper = pouch.keeper.number;
+                state.owed.push((keeper, doubt.receipt));
+            }
+        }
+    }
+}
+
+impl State {
+    fn open(&mut self, id: EntryId, now: Time) -> Option<()> {
+        let keeper = self.keepers.get(self.next)?.clone();
+        let lease = LeaseId {
+            entry: id,
+            epoch: fastrand::u64(1..),
+        };
+        self.pouches.push(Pouch {
+            keeper,
+            wallet: Wallet::new(lease),
+            opened: now,
+            used: Map::default(),
+            closing: false,
+        });
+        Some(())
+    }
+
+    fn pouch(&mut self, lease: LeaseId) -> Option<&mut Pouch> {
+        let mut pouches = self.pouches.iter_mut();
+        pouches.find(|pouch| pouch.wallet.lease() == lease)
+    }
+
+    /// Opens a new wallet in time; older ones close once nothing is reserved.
+    fn roll(&mut self, id: EntryId, now: Time) {
+        let old = |pouch: &Pouch| now.since(pouch.opened) >= ROLL;
+        if self.pouches.last().is_some_and(old) {
+            self.open(id, now);
+        }
+        let current = self.pouches.len().saturating_sub(1);
+        for pouch in &mut self.pouches[..current] {
+            if pouch.wallet.open() == 0 {
+                pouch.closing = true;
+            }
+        }
+    }
+}
+
+impl Pouch {
+    /// Returns the draw that renews the lease and gives back what lies idle.
+    fn renewal(&mut self, now: Time) -> Draw {
+        let mut demands = Vec::new();
+        let demand: Map<TeamId, Tokens> = self.wallet.take_demand().into_iter().collect();
+        let teams: Vec<TeamId> = self.wallet.purses().keys().copied().collect();
+        for team in teams {
+            let used = self.used.get(&team).copied().unwrap_or_default();
+            if self.closing || now.since(used) >= IDLE {
+                self.wallet.give_back(team, Tokens(u64::MAX));
+            }
+            let purse = self.wallet.purse(team);
+            let asked = demand.get(&team).copied().unwrap_or_default();
+            let active = !asked.is_zero() || purse.granted != purse.returned.plus(purse.used);
+            if active {
+                demands.push(Demand {
+                    team,
+                    need: Tokens::ZERO,
+                    extra: asked.plus(asked).less(purse.free()),
+                    returned: purse.returned,
+                });
+            }
+        }
+        Draw {
+            lease: self.wallet.lease(),
+            address: SocketAddr::from(([0, 0, 0, 0], 0)),
+            demands,
+            close: self.closing,
+        }
+    }
+}
+
+/// Draws the tokens that a request lacks.
+pub async fn draw(entry: &Entry, team: TeamId, need: Tokens) {
+    for _ in 0..2 {
+        let now = entry.context.clock.now();
+        let Some((lease, keeper)) = entry.budget.current(now) else {
+            return;
+        };
+        let Some(demand) = entry.budget.demand(lease, team, need) else {
+            return;
+        };
+        let draw = Draw {
+            lease,
+            address: entry.node.address(),
+            demands: vec![demand],
+            close: false,
+        };
+        let sent = entry.context.clock.now();
+        match entry
+            .node
+            .ask(keeper.address, Ask::Draw(draw), DRAW_WAIT)
+            .await
+        {
+            Ok(Answer::Granted(granted)) => {
+                entry.budget.renewed(lease, sent, &granted);
+                return;
+            }
+            Ok(Answer::Ended) => entry.budget.ended(lease),
+            Ok(_) | Err(_) => {
+                log::warn!("entry: {} does not answer a draw", keeper.number);
+                entry.budget.switch(lease, sent);
+            }
+        }
+    }
+}
+
+/// Renews leases and gives back what lies idle.
+pub async fn renew(entry: Entry) {
+    loop {
+        let now = entry.context.clock.now();
+        let _ = entry.budget.current(now);
+        entry.budget.settle_doubts(now);
+        for (mut draw, keeper) in entry.budget.renewals(now) {
+            draw.address = entry.node.address();
+            entry
+                .context
+                .pool
+                .spawn(renew_one(entry.clone(), draw, keeper));
+        }
+        Timer::after(RENEW).await;
+    }
+}
+
+async fn renew_one(entry: Entry, draw: Draw, keeper: Peer) {
+    let lease = draw.lease;
+    let close = draw.close;
+    let sent = entry.context.clock.now();
+    let answer = entry.node.ask(keeper.address, Ask::Draw(draw), KEEPER_WAIT);
+    match answer.await {
+        Ok(Answer::Granted(granted)) => entry.budget.renewed(lease, sent, &granted),
+        Ok(Answer::Ended) => entry.budget.ended(lease),
+        Ok(Answer::Done) if close => entry.budget.ended(lease),
+        Ok(_) | Err(_) if !close => entry.budget.switch(lease, sent),
+        Ok(_) | Err(_) => {}
+    }
+}
+
+/// Delivers receipts until each is answered.
+pub async fn report(entry: Entry) {
+    loop {
+        for peer in &entry.context.keepers {
+            let receipts = entry.budget.owed(peer.number);
+            if receipts.is_empty() {
+                continue;
+            }
+            let ask = Ask::Receipts(receipts.clone());
+            let answer = entry.node.ask(peer.address, ask, KEEPER_WAIT).await;
+            if let Ok(Answer::Bills(bills)) = answer {
+                entry.budget.billed(peer.number, &receipts, &bills);
+            }
+        }
+        Timer::after(DELIVER).await;
+    }
+}
+
+/// Gives all leases back before a planned stop.
+pub async fn close_all(entry: &Entry) {
+    let draws: Vec<(Draw, Peer)> = {
+        let now = entry.context.clock.now();
+        let mut state = lock(&entry.budget.state);
+        for pouch in &mut state.pouches {
+            pouch.closing = pouch.wallet.open() == 0;
+        }
+        let pouches = state.pouches.iter_mut();
+        pouches
+            .map(|p| (p.renewal(now), p.keeper.clone()))
+            .collect()
+    };
+    for (mut draw, keeper) in draws {
+        draw.address = entry.node.address();
+        let _ = entry
+            .node
+            .ask(keeper.address, Ask::Draw(draw), KEEPER_WAIT)
+            .await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/drive.rs
@@ -0,0 +1,602 @@
+//! The way of one request to an endpoint and back.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use base::AgentId;
+use base::Digest;
+use base::EndpointId;
+use base::KeeperId;
+use base::RequestId;
+use base::Span;
+use base::Time;
+use base::Tokens;
+use caller::CallerError;
+use fleet::Answer;
+use fleet::Ask;
+use fleet::wire::Open;
+use ledger::Receipt;
+use request::Assembly;
+use request::Claim;
+use request::Claimed;
+use request::End;
+use request::Enrolled;
+use request::Final;
+use request::Life;
+use request::Next;
+use request::NotRun;
+use request::Order;
+use request::Record;
+use request::Refusal;
+use request::Work;
+use request::life::Failure;
+use request::records::homes;
+
+use super::Entry;
+use super::acquire;
+use super::budget;
+use super::budget::Held;
+use super::budget::Lack;
+use super::flow::Ending;
+use super::flow::Flow;
+use super::stream;
+use super::stream::StreamEnd;
+use super::tables::Chosen;
+use super::tables::Member;
+
+/// Longest wait for a keeper's answer within a request.
+const KEEPER_WAIT: Span = Span::millis(600);
+
+/// Longest wait for the record of a request to be kept.
+const RECORD_WAIT: Span = Span::millis(250);
+
+/// Times that a request whose record points elsewhere is looked up again.
+const MAX_JOINS: u32 = 3;
+
+/// A request on its way.
+pub struct Job {
+    /// The answer.
+    pub flow: Arc<Flow>,
+    /// The team.
+    pub member: Member,
+    /// The models or the service that may answer, the preferred one first.
+    pub serves: Vec<String>,
+    /// The digest of the prompt's prefix.
+    pub prefix: Option<u64>,
+    /// What is to be done; a chat's model and prefix are filled in when it's sent.
+    pub work: Work,
+    /// An upper bound of the prompt's tokens, or a call's price.
+    pub prompt: Tokens,
+    /// A closer count of the prompt's tokens.
+    pub counted: Tokens,
+    /// Most tokens generated.
+    pub cap: Tokens,
+    /// When the caller stops waiting.
+    pub deadline: Time,
+    /// Whether the request may run more than once.
+    pub repeatable: bool,
+}
+
+impl Job {
+    /// Returns the tokens that the request may cost.
+    #[must_use]
+    pub fn amount(&self) -> Tokens {
+        self.prompt.plus(self.cap)
+    }
+}
+
+/// What stands between an attempt and the one before.
+#[derive(Default)]
+struct Trail {
+    avoid: Vec<EndpointId>,
+    nonce: Option<u64>,
+    joins: u32,
+    prompt: Tokens,
+    held: Option<Held>,
+}
+
+/// How an attempt ended for the request.
+enum Verdict {
+    Done(Ending, Option<Final>),
+    Again,
+}
+
+/// Drives a request to its end.
+pub async fn run(entry: Entry, job: Job) {
+    let mut trail = Trail {
+        prompt: job.prompt,
+        ..Trail::default()
+    };
+    let mut life = Life::new(job.deadline, job.repeatable);
+    let mut assembly = Assembly::new(job.flow.request);
+    let (ending, end) = loop {
+        let verdict = attempt(&entry, &job, &mut trail, &mut life, &mut assembly).await;
+        match verdict {
+            Verdict::Done(ending, end) => break (ending, end),
+            Verdict::Again => {
+                entry.meter.retries.inc();
+            }
+        }
+    };
+    settle(&entry, &job, &trail, &ending, end.as_ref(), &assembly);
+    let kept = !matches!(
+        ending,
+        Ending::Error(CallerError::NotRun(_) | CallerError::Unknown)
+    );
+    job.flow.end(ending);
+    let now = entry.context.clock.now();
+    entry.tables.over(job.flow.request, kept, now);
+}
+
+fn not_run(reason: NotRun) -> Verdict {
+    Verdict::Done(Ending::Error(CallerError::NotRun(reason)), None)
+}
+
+fn unknown() -> Verdict {
+    Verdict::Done(Ending::Error(CallerError::Unknown), None)
+}
+
+/// Accounts for the reservation by how the request ended.
+fn settle(
+    entry: &Entry,
+    job: &Job,
+    trail: &Trail,
+    ending: &Ending,
+    end: Option<&Final>,
+    assembly: &Assembly,
+) {
+    let Some(held) = &trail.held else {
+        return;
+    };
+    let request = job.flow.request;
+    let receipt = |amount: Tokens| Receipt {
+        lease: held.lease,
+        request,
+        team: job.member.id,
+        amount: amount.min(trail.prompt.plus(job.cap)),
+    };
+    match (ending, end) {
+        (_, Some(end)) => entry.budget.owe(held, receipt(end.bill())),
+        (Ending::Error(CallerError::Unknown), None) => {
+            // Until an agent's receipt comes, what the caller got is all that's known.
+            let known = trail.prompt.plus(Tokens(assembly.tokens()));
+            let now = entry.context.clock.now();
+            entry.budget.doubt(held, receipt(known), now);
+        }
+        (_, None) => entry.budget.release(request),
+    }
+}
+
+/// Makes one attempt, or joins one that runs elsewhere.
+async fn attempt(
+    entry: &Entry,
+    job: &Job,
+    trail: &mut Trail,
+    life: &mut Life,
+    assembly: &mut Assembly,
+) -> Verdict {
+    let chosen = match acquire::acquire(entry, job, &trail.avoid).await {
+        Ok(chosen) => chosen,
+        Err(NotRun::NoEndpoint) if !trail.avoid.is_empty() => {
+            // Every endpoint was tried; the first may have recovered.
+            trail.avoid.clear();
+            return after(entry, life, Failure::NeverSent);
+        }
+        Err(reason) => return end_early(life, reason),
+    };
+    let begun = entry.context.clock.now();
+    let verdict = at_endpoint(entry, job, trail, life, assembly, &chosen).await;
+    let took = entry.context.clock.now().since(begun);
+    acquire::done(entry, chosen.slot, took);
+    verdict
+}
+
+/// Returns the end of a request that can't go on; proof is kept by its life.
+fn end_early(life: &mut Life, reason: NotRun) -> Verdict {
+    if life.attempt() == 1 {
+        not_run(reason)
+    } else {
+        match life.failed(Failure::NeverSent, false, Time(u64::MAX)) {
+            Next::NotRun(_) => not_run(reason),
+            Next::Unknown | Next::Resume | Next::Retry => unknown(),
+        }
+    }
+}
+
+fn after(entry: &Entry, life: &mut Life, failure: Failure) -> Verdict {
+    let budget = entry.tables.endpoints().retries.retry();
+    let now = entry.context.clock.now();
+    match life.failed(failure, budget, now) {
+        Next::Retry | Next::Resume => Verdict::Again,
+        Next::NotRun(reason) => not_run(reason),
+        Next::Unknown => unknown(),
+    }
+}
+
+async fn at_endpoint(
+    entry: &Entry,
+    job: &Job,
+    trail: &mut Trail,
+    life: &mut Life,
+    assembly: &mut Assembly,
+    chosen: &Chosen,
+) -> Verdict {
+    let held = match fund(entry, job, trail).await {
+        Ok(held) => held,
+        Err(reason) => return end_early(life, reason),
+    };
+    trail.held = Some(held);
+    if job.repeatable {
+        repeatable(entry, job, trail, life, assembly, chosen).await
+    } else {
+        once(entry, job, trail, life, assembly, chosen).await
+    }
+}
+
+/// Reserves what the request may cost: by a bound first, then by a closer count,
+/// then with what the keeper can find elsewhere.
+async fn fund(entry: &Entry, job: &Job, trail: &mut Trail) -> Result<Held, NotRun> {
+    let request = job.flow.request;
+    let team = job.member.id;
+    let reserve = |amount| {
+        let now = entry.context.clock.now();
+        entry.budget.reserve(request, team, amount, now)
+    };
+    if let Ok(held) = reserve(job.amount()) {
+        return Ok(held);
+    }
+    let counted = job.counted.min(job.prompt);
+    let amount = counted.plus(job.cap);
+    trail.prompt = counted;
+    let mut lack = Lack::Short;
+    for _ in 0..3 {
+        match reserve(amount) {
+            Ok(held) => return Ok(held),
+            Err(found) => lack = found,
+        }
+        budget::draw(entry, team, amount).await;
+    }
+    match (reserve(amount), lack) {
+        (Ok(held), _) => Ok(held),
+        (Err(Lack::Short), _) => Err(NotRun::Budget),
+        (Err(Lack::NoLease), _) => Err(NotRun::NoLease),
+    }
+}
+
+fn order(entry: &Entry, job: &Job, trail: &Trail, life: &Life, assembly: &Assembly) -> Order {
+    let now = entry.context.clock.now();
+    let held = trail.held;
+    let mut work = job.work.clone();
+    if let Work::Chat { prefix, .. } = &mut work {
+        *prefix = String::from_utf8_lossy(assembly.bytes()).into_owned();
+    }
+    let lease = held.map_or(
+        base::LeaseId {
+            entry: entry.tables.id(),
+            epoch: 0,
+        },
+        |held| held.lease,
+    );
+    Order {
+        request: job.flow.request,
+        attempt: life.attempt(),
+        digest: job.flow.digest,
+        team: job.member.id,
+        lease,
+        keeper: held.map_or(KeeperId(0), |held| held.keeper),
+        left: held.map_or(Span(0), |held| held.left),
+        prompt: trail.prompt,
+        cap: job.cap,
+        done: Tokens(assembly.tokens()),
+        patience: life.left(now),
+        repeatable: job.repeatable,
+        priority: job.member.priority,
+        document: entry.tables.document().number,
+        work,
+    }
+}
+
+/// Returns the keepers that hold a request's record.
+fn record_homes(entry: &Entry, request: RequestId) -> Vec<SocketAddr> {
+    let keepers = &entry.context.keepers;
+    let ids: Vec<KeeperId> = keepers.iter().map(|peer| peer.number).collect();
+    let ranked = homes(request, &ids);
+    let address = |id: &KeeperId| keepers.iter().find(|peer| peer.number == *id);
+    let peers = ranked.iter().filter_map(address);
+    peers.map(|peer| peer.address).collect()
+}
+
+/// Records where the request is sent; returns where it runs already.
+async fn enrol(entry: &Entry, record: Record, replaces: Option<u64>) -> Option<Record> {
+    let mut tasks = Vec::new();
+    for address in record_homes(entry, record.request) {
+        let node = entry.node.clone();
+        let ask = Ask::Enrol(record, replaces);
+        let task = async move { node.ask(address, ask, RECORD_WAIT).await };
+        tasks.push(entry.context.pool.task(task));
+    }
+    let mut present = None;
+    for task in tasks {
+        if let Ok(Answer::Enrolled(Enrolled::Present(earlier))) = task.await {
+            present = Some(earlier);
+        }
+    }
+    present
+}
+
+async fn unenrol(entry: &Entry, request: RequestId, nonce: u64) {
+    for address in record_homes(entry, request) {
+        let ask = Ask::Unenrol(request, nonce);
+        let _ = entry.node.ask(address, ask, RECORD_WAIT).await;
+    }
+}
+
+async fn repeatable(
+    entry: &Entry,
+    job: &Job,
+    trail: &mut Trail,
+    life: &mut Life,
+    assembly: &mut Assembly,
+    chosen: &Chosen,
+) -> Verdict {
+    let record = Record {
+        request: job.flow.request,
+        digest: job.flow.digest,
+        attempt: life.attempt(),
+        agent: chosen.agent,
+        address: chosen.address,
+        nonce: fastrand::u64(1..),
+    };
+    if let Some(earlier) = enrol(entry, record, trail.nonce).await {
+        return join(entry, job, trail, life, assembly, &earlier).await;
+    }
+    trail.nonce = Some(record.nonce);
+    let verdict = send(entry, job, trail, life, assembly, chosen).await;
+    if matches!(
+        verdict,
+        Verdict::Done(Ending::Error(CallerError::NotRun(_)), _)
+    ) {
+        unenrol(entry, job.flow.request, record.nonce).await;
+    }
+    verdict
+}
+
+/// Joins a request that another entry has sent.
+async fn join(
+    entry: &Entry,
+    job: &Job,
+    trail: &mut Trail,
+    life: &mut Life,
+    assembly: &mut Assembly,
+    record: &Record,
+) -> Verdict {
+    if record.digest != job.flow.digest {
+        return Verdict::Done(Ending::Error(CallerError::OtherBody), None);
+    }
+    let joined = attach(entry, job, record.agent, record.address, life, assembly).await;
+    match joined {
+        StreamEnd::Whole(end) => {
+            // The bill goes to the lease under which the request runs.
+            free(entry, job, trail);
+            Verdict::Done(Ending::Whole(end), None)
+        }
+        StreamEnd::Refused(Refusal::OtherBody) => {
+            Verdict::Done(Ending::Error(CallerError::OtherBody), None)
+        }
+        _ if trail.joins < MAX_JOINS => {
+            trail.joins += 1;
+            trail.nonce = Some(record.nonce);
+            trail.avoid.push(record.agent.endpoint);
+            Verdict::Again
+        }
+        _ => unknown(),
+    }
+}
+
+fn free(entry: &Entry, job: &Job, trail: &mut Trail) {
+    if trail.held.take().is_some() {
+        entry.budget.release(job.flow.request);
+    }
+}
+
+async fn attach(
+    entry: &Entry,
+    job: &Job,
+    agent: AgentId,
+    address: SocketAddr,
+    life: &Life,
+    assembly: &mut Assembly,
+) -> StreamEnd {
+    let open = Open::Attach {
+        request: job.flow.request,
+        digest: job.flow.digest,
+        attempt: life.attempt(),
+        offset: assembly.bytes().len() as u64,
+    };
+    assembly.expect(life.attempt());
+    let end = stream::follow(entry, job, address, open, assembly).await;
+    if !matches!(end, StreamEnd::Refused(Refusal::Absent)) {
+        return end;
+    }
+    // An order may still be on its way: bar it, then it's certain.
+    let ask = Ask::CallOff(agent, job.flow.request);
+    match entry.node.ask(address, ask, KEEPER_WAIT).await {
+        Ok(Answer::CalledOff(true)) => StreamEnd::Refused(Refusal::Tombstone),
+        Ok(_) | Err(_) => end,
+    }
+}
+
+/// Sends an order and follows it, taking the stream up again where it breaks.
+async fn send(
+    entry: &Entry,
+    job: &Job,
+    trail: &mut Trail,
+    life: &mut Life,
+    assembly: &mut Assembly,
+    chosen: &Chosen,
+) -> Verdict {
+    let order = order(entry, job, trail, life, assembly);
+    let sent = entry.context.clock.now();
+    assembly.expect(order.attempt);
+    let open = Open::Run(Box::new(order));
+    let mut end = stream::follow(entry, job, chosen.address, open, assembly).await;
+    loop {
+        let failure = match end {
+            StreamEnd::Whole(end) => {
+                note_answer(entry, job, chosen, sent);
+                return Verdict::Done(Ending::Whole(end.clone()), Some(end));
+            }
+            StreamEnd::Broken(end) if end.end == End::Cancelled => {
+                return Verdict::Done(Ending::Error(CallerError::Unknown), Some(end));
+            }
+            StreamEnd::Broken(end) if end.end == End::NotRun => Failure::Refused(Refusal::Down),
+            StreamEnd::Broken(_) => Failure::Failed,
+            StreamEnd::Refused(refusal) => Failure::Refused(refusal),
+            StreamEnd::Lost => Failure::Broken,
+            StreamEnd::NeverSent => Failure::NeverSent,
+        };
+        if !matches!(failure, Failure::NeverSent | Failure::Refused(_)) {
+            life.sent();
+        }
+        let now = entry.context.clock.now();
+        if !matches!(failure, Failure::Refused(Refusal::Full | Refusal::Leaving)) {
+            entry.tables.endpoints().table.failed(chosen.slot, now);
+        }
+        let budget = entry.tables.endpoints().retries.retry();
+        match life.failed(failure, budget, now) {
+            Next::Resume => {
+                end = resume(entry, job, life, assembly, chosen).await;
+            }
+            Next::Retry => {
+                trail.avoid.push(chosen.agent.endpoint);
+                return Verdict::Again;
+            }
+            Next::NotRun(reason) => return not_run(reason),
+            Next::Unknown => return unknown(),
+        }
+    }
+}
+
+/// Takes a broken stream up again at the same agent.
+async fn resume(
+    entry: &Entry,
+    job: &Job,
+    life: &mut Life,
+    assembly: &mut Assembly,
+    chosen: &Chosen,
+) -> StreamEnd {
+    let end = attach(entry, job, chosen.agent, chosen.address, life, assembly).await;
+    match end {
+        // The agent can't be reached at all, or has forgotten: it's no refusal of
+        // what was sent before.
+        StreamEnd::NeverSent | StreamEnd::Refused(Refusal::Absent) => StreamEnd::Lost,
+        other => other,
+    }
+}
+
+fn note_answer(entry: &Entry, job: &Job, chosen: &Chosen, sent: Time) {
+    let document = entry.tables.document();
+    let aim = Span::millis(document.objective.first_ms);
+    let now = entry.context.clock.now();
+    let first = job.flow.first().unwrap_or(now);
+    let mut endpoints = entry.tables.endpoints();
+    endpoints
+        .table
+        .answered(chosen.slot, first.since(sent), aim);
+}
+
+/// Claims a call that may run once, and sends it.
+async fn once(
+    entry: &Entry,
+    job: &Job,
+    trail: &mut Trail,
+    life: &mut Life,
+    assembly: &mut Assembly,
+    chosen: &Chosen,
+) -> Verdict {
+    let claim = Claim {
+        request: job.flow.request,
+        digest: job.flow.digest,
+        entry: entry.tables.id(),
+        agent: chosen.agent,
+        nonce: fastrand::u64(1..),
+    };
+    match ask_claim(entry, claim).await {
+        Some(Claimed::Granted) => {}
+        Some(Claimed::OtherBody) => {
+            return Verdict::Done(Ending::Error(CallerError::OtherBody), None);
+        }
+        Some(Claimed::Taken(earlier)) => {
+            return join_claim(entry, job, trail, life, assembly, earlier).await;
+        }
+        // Nothing has been sent and, without the claim, nothing will be.
+        None => return not_run(NotRun::NoQuorum),
+    }
+    let verdict = send(entry, job, trail, life, assembly, chosen).await;
+    let unsent = matches!(
+        &verdict,
+        Verdict::Again | Verdict::Done(Ending::Error(CallerError::NotRun(_)), _)
+    );
+    if unsent && !ask_free(entry, claim).await {
+        // The claim stands in the way of a second try, which isn't needed to run.
+        return not_run(NotRun::NoQuorum);
+    }
+    verdict
+}
+
+async fn ask_claim(entry: &Entry, claim: Claim) -> Option<Claimed> {
+    for peer in &entry.context.keepers {
+        let ask = Ask::Claim(claim);
+        if let Ok(Answer::Claimed(claimed)) = entry.node.ask(peer.address, ask, KEEPER_WAIT).await {
+            return Some(claimed);
+        }
+    }
+    None
+}
+
+async fn ask_free(entry: &Entry, claim: Claim) -> bool {
+    for peer in &entry.context.keepers {
+        let ask = Ask::Free(claim);
+        if let Ok(Answer::Done) = entry.node.ask(peer.address, ask, KEEPER_WAIT).await {
+            return true;
+        }
+    }
+    false
+}
+
+async fn join_claim(
+    entry: &Entry,
+    job: &Job,
+    trail: &mut Trail,
+    life: &mut Life,
+    assembly: &mut Assembly,
+    claim: Claim,
+) -> Verdict {
+    let Some(address) = entry.tables.address(claim.agent) else {
+        free(entry, job, trail);
+        return unknown();
+    };
+    let joined = attach(entry, job, claim.agent, address, life, assembly).await;
+    free(entry, job, trail);
+    match joined {
+        StreamEnd::Whole(end) => Verdict::Done(Ending::Whole(end), None),
+        StreamEnd::Refused(Refusal::Tombstone) if trail.joins < MAX_JOINS => {
+            trail.joins += 1;
+            if ask_free(entry, claim).await {
+                Verdict::Again
+            } else {
+                not_run(NotRun::NoQuorum)
+            }
+        }
+        _ => unknown(),
+    }
+}
+
+/// Returns a digest over all that makes two requests with one key the same.
+#[must_use]
+pub fn body_digest(path: &str, body: &[u8]) -> Digest {
+    let mut bytes = path.as_bytes().to_vec();
+    bytes.push(0);
+    bytes.extend_from_slice(body);
+    Digest::of(&bytes)
+}
--- /dev/null
+++ b/crates/daemon/src/entry/peers.rs
@@ -0,0 +1,64 @@
+//! News from the keepers.
+
+use std::time::Duration;
+
+use async_io::Timer;
+use base::Span;
+use fleet::Answer;
+use fleet::Ask;
+use fleet::wire::News;
+use fleet::wire::Watch;
+
+use super::Entry;
+use crate::agent::follow;
+use crate::settings::Peer;
+
+/// Time between two questions to one keeper.
+const WATCH: Duration = Duration::from_millis(250);
+
+/// Longest wait for a keeper's answer.
+const KEEPER_WAIT: Span = Span::millis(1_500);
+
+/// Asks one keeper again and again what changed.
+pub async fn watch(entry: Entry, peer: Peer) {
+    let mut version = 0;
+    loop {
+        let watch = Watch {
+            entry: entry.tables.id(),
+            version,
+            document: entry.tables.document().number,
+        };
+        let answer = entry.node.ask(peer.address, Ask::Watch(watch), KEEPER_WAIT);
+        if let Ok(Answer::News(delta, news)) = answer.await {
+            version = delta.version;
+            take_news(&entry, news);
+            let now = entry.context.clock.now();
+            for announce in &delta.changed {
+                entry.tables.report(announce, now);
+            }
+            for endpoint in delta.gone {
+                entry.tables.gone(endpoint);
+            }
+            entry.context.health.set_ready(entry.ready());
+        } else {
+            // What was told is still of use; endpoints that fall silent drop out.
+            version = 0;
+        }
+        Timer::after(WATCH).await;
+    }
+}
+
+fn take_news(entry: &Entry, news: News) {
+    let newer = match news {
+        News::None => return,
+        News::Whole(document) => *document,
+        News::Patches(patches) => match follow(&entry.tables.document(), &patches) {
+            Some(document) => document,
+            None => return,
+        },
+    };
+    let number = newer.number;
+    if entry.tables.set_document(newer) {
+        log::info!("entry: document {number} is in force");
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/keeper/core.rs
@@ -0,0 +1,1030 @@
+//! The keeper's decisions over its tables.
+//!
+//! The core reads no clock, socket or disk. Its driver hands it inputs, makes its
+//! writes durable and only then lets its replies and messages out.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use async_channel::Sender;
+use base::AgentId;
+use base::EntryId;
+use base::KeeperId;
+use base::LeaseId;
+use base::Map;
+use base::Span;
+use base::TeamId;
+use base::Time;
+use base::Tokens;
+use config::check;
+use config::register;
+use consensus::Effects;
+use consensus::Entry;
+use consensus::Payload;
+use consensus::Replica;
+use consensus::Role;
+use consensus::Write;
+use fleet::Answer;
+use fleet::Ask;
+use fleet::wire::Balance;
+use fleet::wire::Credit;
+use fleet::wire::Demand;
+use fleet::wire::Draw;
+use fleet::wire::Granted;
+use fleet::wire::News;
+use fleet::wire::Status;
+use fleet::wire::Verdict;
+use fleet::wire::Watch;
+use ledger::Command;
+use ledger::Event;
+use ledger::Move;
+use ledger::Outcome;
+use ledger::Receipt;
+use ledger::Share;
+use ledger::Tenancies;
+use ledger::TopUp;
+use ledger::central::Want;
+use ledger::reclaim::Standing;
+use ledger::verify;
+use request::Records;
+use routing::Announce;
+use routing::Registry;
+use routing::membership::Arrival;
+
+use super::site::Change;
+use super::site::Effect;
+use super::site::Site;
+
+/// How long a draw waits for tokens from elsewhere before it's refused.
+const DRAW_WAIT: Span = Span::millis(400);
+
+/// How long a batch may stay unapplied before it's sent again.
+const BATCH_RETRY: Span = Span::millis(400);
+
+/// How often leases and agents are looked through.
+const SWEEP: Span = Span::millis(1_000);
+
+/// Least time between two recalls of one team's tokens.
+const RECALL_GAP: Span = Span::millis(50);
+
+/// Entries in memory after which the log is compacted.
+const COMPACT_AFTER: usize = 20_000;
+
+/// How long an entry that falls silent is shown to operators.
+const ENTRY_SHOWN: Span = Span::secs(30);
+
+/// Where an answer goes.
+pub type Reply = Sender<Answer>;
+
+/// What the driver hands to the core.
+#[derive(Debug)]
+pub enum Input {
+    /// A question, with where its answer goes.
+    Ask(Ask, Reply),
+    /// Time has passed.
+    Tick,
+    /// An entry has given back tokens.
+    Returned(LeaseId, TeamId, Tokens),
+    /// An agent says whether it holds receipts of a lease.
+    Vouched(LeaseId, AgentId, bool),
+    /// The process stops as planned.
+    Stop,
+}
+
+/// What the core wants sent once its writes are durable.
+#[derive(Debug)]
+pub enum Output {
+    /// An answer.
+    Reply(Reply, Answer),
+    /// A message that needs no answer.
+    Tell(SocketAddr, Ask),
+    /// A question whose answer goes to `Reply`, or [`Answer::Unavailable`].
+    Forward(SocketAddr, Ask, Reply),
+    /// A recall of a team's tokens.
+    Recall(SocketAddr, TeamId, Tokens),
+    /// A question whether a lease is clear.
+    Vouch(SocketAddr, LeaseId),
+}
+
+/// What a committed change is for.
+#[derive(Debug)]
+enum Waiting {
+    Claim(Reply),
+    Free(Reply),
+    Submit(Reply),
+    TopUp(Reply),
+    Encoded(Reply),
+    Plain(Reply),
+}
+
+/// A draw that waits for tokens.
+#[derive(Debug)]
+struct Waiter {
+    lease: LeaseId,
+    demands: Vec<Demand>,
+    until: Time,
+    reply: Reply,
+}
+
+/// A keeper's tables and decisions.
+#[derive(Debug)]
+pub struct Core {
+    id: KeeperId,
+    disk: u64,
+    domain: String,
+    peers: BTreeMap<KeeperId, SocketAddr>,
+    /// The replica of the log.
+    pub replica: Replica,
+    /// The replicated state.
+    pub site: Site,
+    /// The share.
+    pub share: Share,
+    tenancies: Tenancies,
+    registry: Registry,
+    records: Records,
+    waiting: BTreeMap<u64, (u64, Waiting)>,
+    waiters: Vec<Waiter>,
+    holders: Map<LeaseId, SocketAddr>,
+    demand: Map<TeamId, Tokens>,
+    asked: Map<TeamId, Want>,
+    recalled: Map<TeamId, Time>,
+    entries: Map<EntryId, (u64, Time)>,
+    batch_sent: Time,
+    swept: Time,
+    now: Time,
+    faults: u64,
+    writes: Vec<Write>,
+    events: Vec<Event>,
+    ready: Vec<Ready>,
+    out: Vec<Output>,
+    compacted: bool,
+}
+
+/// A committed part of the log that waits for the sync.
+#[derive(Debug)]
+enum Ready {
+    Install(consensus::Snapshot),
+    Apply(Entry),
+}
+
+/// What a core starts with.
+#[derive(Debug)]
+pub struct Start {
+    /// The keeper's number.
+    pub id: KeeperId,
+    /// The identity of its data folder.
+    pub disk: u64,
+    /// The failure domain.
+    pub domain: String,
+    /// Where the keepers take messages.
+    pub peers: BTreeMap<KeeperId, SocketAddr>,
+    /// The replica as read from the disk.
+    pub replica: Replica,
+    /// The share as read from the disk.
+    pub share: Share,
+    /// The present instant.
+    pub now: Time,
+}
+
+impl Core {
+    /// Returns the core of a keeper.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the snapshot can't be read.
+    pub fn new(start: Start) -> Result<Self, postcard::Error> {
+        let data = &start.replica.log().snapshot().data;
+        let site = if data.is_empty() {
+            Site::default()
+        } else {
+            postcard::from_bytes(data)?
+        };
+        Ok(Self {
+            id: start.id,
+            disk: start.disk,
+            domain: start.domain,
+            peers: start.peers,
+            replica: start.replica,
+            site,
+            tenancies: Tenancies::after_restart(&start.share, start.now),
+            share: start.share,
+            registry: Registry::default(),
+            records: Records::default(),
+            waiting: BTreeMap::new(),
+            waiters: Vec::new(),
+            holders: Map::default(),
+            demand: Map::default(),
+            asked: Map::default(),
+            recalled: Map::default(),
+            entries: Map::default(),
+            batch_sent: Time(0),
+            swept: start.now,
+            now: start.now,
+            faults: 0,
+            writes: Vec::new(),
+            events: Vec::new(),
+            ready: Vec::new(),
+            out: Vec::new(),
+            compacted: false,
+        })
+    }
+
+    /// Returns the breaches of the conservation law seen so far.
+    #[must_use]
+    pub fn faults(&self) -> u64 {
+        self.faults
+    }
+
+    /// Returns the writes and events that are to be made durable.
+    pub fn take_writes(&mut self) -> (Vec<Write>, Vec<Event>) {
+        let writes = std::mem::take(&mut self.writes);
+        (writes, std::mem::take(&mut self.events))
+    }
+
+    /// Returns what may go out once all is durable.
+    pub fn take_outputs(&mut self) -> Vec<Output> {
+        std::mem::take(&mut self.out)
+    }
+
+    /// Returns whether the log was compacted since the last call.
+    pub fn take_compacted(&mut self) -> bool {
+        std::mem::take(&mut self.compacted)
+    }
+
+    /// Takes in one input at `now`; `wall` is the wall clock in milliseconds, which
+    /// only stamps the log.
+    pub fn handle(&mut self, input: Input, now: Time, wall: u64) {
+        self.now = now;
+        match input {
+            Input::Ask(ask, reply) => self.on_ask(ask, reply),
+            Input::Tick => self.on_tick(wall),
+            Input::Returned(lease, team, total) => {
+                if let Some(event) = self.share.decide_return(lease, team, total) {
+                    self.journal(event);
+                }
+                self.serve_waiters();
+            }
+            Input::Vouched(lease, agent, clear) => {
+                if clear {
+                    self.tenancies.clear(lease, agent);
+                }
+            }
+            Input::Stop => {
+                let effects = self.replica.hand_over();
+                self.absorb(effects);
+            }
+        }
+    }
+
+    /// Applies what is committed and durable; returns whether there was any.
+    pub fn deliver(&mut self) -> bool {
+        let ready = std::mem::take(&mut self.ready);
+        let any = !ready.is_empty();
+        for item in ready {
+            match item {
+                Ready::Install(snapshot) => self.install(&snapshot),
+                Ready::Apply(entry) => self.apply(&entry),
+            }
+        }
+        if any {
+            self.share.confirm(self.site.ledger.posted(self.id));
+            self.serve_waiters();
+            self.post(false);
+            self.compact();
+        }
+        any
+    }
+
+    fn install(&mut self, snapshot: &consensus::Snapshot) {
+        match postcard::from_bytes(&snapshot.data) {
+            Ok(site) => self.site = site,
+            Err(error) => {
+                self.faults += 1;
+                log::error!("keeper: a snapshot can't be read: {error}");
+            }
+        }
+        self.compacted = true;
+        let later = self.waiting.split_off(&(snapshot.position.index + 1));
+        for (_, (_, waiting)) in std::mem::replace(&mut self.waiting, later) {
+            self.answer_unknown(waiting);
+        }
+    }
+
+    fn apply(&mut self, entry: &Entry) {
+        let waiting = self.waiting.remove(&entry.position.index);
+        let Payload::Data(data) = &entry.payload else {
+            if let Some((term, waiting)) = waiting {
+                match waiting {
+                    Waiting::Plain(reply) if term == entry.position.term => {
+                        self.out.push(Output::Reply(reply, Answer::Done));
+                    }
+                    other => self.answer_unknown(other),
+                }
+            }
+            return;
+        };
+        let effect = match postcard::from_bytes::<Change>(data) {
+            Ok(change) => self.site.apply(&change, entry.at),
+            Err(error) => {
+                self.faults += 1;
+                log::error!("keeper: a committed change can't be read: {error}");
+                return;
+            }
+        };
+        match waiting {
+            Some((term, waiting)) if term == entry.position.term => {
+                self.answer_effect(waiting, effect);
+            }
+            Some((_, waiting)) => self.answer_unknown(waiting),
+            None => {}
+        }
+    }
+
+    fn answer_effect(&mut self, waiting: Waiting, effect: Effect) {
+        let (reply, answer) = match (waiting, effect) {
+            (Waiting::Claim(reply), Effect::Claimed(claimed)) => (reply, Answer::Claimed(claimed)),
+            (Waiting::Submit(reply), Effect::Submit(answer)) => {
+                (reply, Answer::Verdict(verdict(answer)))
+            }
+            (Waiting::TopUp(reply), Effect::Ledger(outcome)) => {
+                (reply, Answer::Credit(credit(&outcome)))
+            }
+            (Waiting::Encoded(reply), effect) => {
+                let bytes = postcard::to_stdvec(&effect).unwrap_or_default();
+                (reply, Answer::Applied(bytes))
+            }
+            (Waiting::Free(reply) | Waiting::Plain(reply), _) => (reply, Answer::Done),
+            (other, _) => {
+                self.answer_unknown(other);
+                return;
+            }
+        };
+        self.out.push(Output::Reply(reply, answer));
+    }
+
+    fn answer_unknown(&mut self, waiting: Waiting) {
+        let (reply, answer) = match waiting {
+            Waiting::Submit(reply) => (reply, Answer::Verdict(Verdict::Unknown)),
+            Waiting::TopUp(reply) => (reply, Answer::Credit(Credit::Unknown)),
+            Waiting::Claim(reply)
+            | Waiting::Free(reply)
+            | Waiting::Encoded(reply)
+            | Waiting::Plain(reply) => (reply, Answer::Unavailable),
+        };
+        self.out.push(Output::Reply(reply, answer));
+    }
+
+    fn journal(&mut self, event: Event) {
+        self.share.apply(&event);
+        self.events.push(event);
+    }
+
+    fn absorb(&mut self, effects: Effects) {
+        self.writes.extend(effects.writes);
+        for envelope in effects.sends {
+            if let Some(&address) = self.peers.get(&envelope.to) {
+                let ask = Ask::Replica(Box::new(envelope));
+                self.out.push(Output::Tell(address, ask));
+            }
+        }
+        self.ready.extend(effects.install.map(Ready::Install));
+        let applied = effects.applied.into_iter().map(Ready::Apply);
+        self.ready.extend(applied);
+        if self.replica.role() != Role::Leader && !self.waiting.is_empty() {
+            // Whether these commit is for another leader to decide.
+            for (_, (_, waiting)) in std::mem::take(&mut self.waiting) {
+                self.answer_unknown(waiting);
+            }
+        }
+    }
+
+    fn compact(&mut self) {
+        if self.replica.log().len() < COMPACT_AFTER {
+            return;
+        }
+        match postcard::to_stdvec(&self.site) {
+            Ok(data) => {
+                let index = self.replica.commit();
+                let effects = self.replica.compact(index, data);
+                self.absorb(effects);
+                self.compacted = true;
+            }
+            Err(error) => log::error!("keeper: the state can't be encoded: {error}"),
+        }
+    }
+
+    /// Proposes a change here, or sends the question on to the leader.
+    fn propose(&mut self, change: &Change, waiting: Waiting, ask: Ask) {
+        if self.replica.role() != Role::Leader {
+            self.forward(ask, waiting);
+            return;
+        }
+        let Ok(data) = postcard::to_stdvec(change) else {
+            self.answer_unknown(waiting);
+            return;
+        };
+        match self.replica.propose(data) {
+            Ok((position, effects)) => {
+                self.waiting
+                    .insert(position.index, (position.term, waiting));
+                self.absorb(effects);
+            }
+            Err(_) => self.answer_unknown(waiting),
+        }
+    }
+
+    fn forward(&mut self, ask: Ask, waiting: Waiting) {
+        let leader = self.replica.leader().filter(|leader| *leader != self.id);
+        let address = leader.and_then(|leader| self.peers.get(&leader).copied());
+        let Some(address) = address else {
+            self.answer_unknown(waiting);
+            return;
+        };
+        let reply = match waiting {
+            Waiting::Claim(reply)
+            | Waiting::Free(reply)
+            | Waiting::Submit(reply)
+            | Waiting::TopUp(reply)
+            | Waiting::Encoded(reply)
+            | Waiting::Plain(reply) => reply,
+        };
+        self.out.push(Output::Forward(address, ask, reply));
+    }
+
+    fn reply(&mut self, reply: Reply, answer: Answer) {
+        self.out.push(Output::Reply(reply, answer));
+    }
+
+    fn on_ask(&mut self, ask: Ask, reply: Reply) {
+        match ask {
+            Ask::Replica(envelope) => {
+                let effects = self.replica.receive(*envelope);
+                self.absorb(effects);
+                self.reply(reply, Answer::Done);
+            }
+            Ask::Announce(announce) => self.on_announce(announce, reply),
+            Ask::Watch(watch) => self.on_watch(&watch, reply),
+            Ask::Document(number) => {
+                let news = self.news(number);
+                let delta = routing::Delta::default();
+                self.reply(reply, Answer::News(delta, news));
+            }
+            Ask::Draw(draw) => self.on_draw(draw, reply),
+            Ask::Receipts(receipts) => self.on_receipts(&receipts, reply),
+            Ask::Enrol(record, replaces) => {
+                let enrolled = self.records.enrol(record, replaces, self.now);
+                self.reply(reply, Answer::Enrolled(enrolled));
+            }
+            Ask::Find(request) => {
+                let found = self.records.find(request);
+                self.reply(reply, Answer::Found(found));
+            }
+            Ask::Unenrol(request, nonce) => {
+                self.records.drop(request, nonce);
+                self.reply(reply, Answer::Done);
+            }
+            Ask::Claim(claim) => {
+                self.propose(
+                    &Change::Claim(claim),
+                    Waiting::Claim(reply),
+                    Ask::Claim(claim),
+                );
+            }
+            Ask::Free(claim) => {
+                self.propose(&Change::Free(claim), Waiting::Free(reply), Ask::Free(claim));
+            }
+            Ask::Propose(data) => self.on_propose(&data, reply),
+            Ask::Submit(document, operator) => self.on_submit(&document, operator, reply),
+            Ask::TopUp(topup) => self.on_top_up(topup, reply),
+            Ask::Status => {
+                let status = Box::new(self.status());
+                self.reply(reply, Answer::Status(status));
+            }
+            Ask::Join(number, disk) => {
+                let change = consensus::Change::Add(KeeperId(number), disk);
+                self.change_members(change, Ask::Join(number, disk), reply);
+            }
+            Ask::Expel(number) => {
+                let change = consensus::Change::Remove(KeeperId(number));
+                self.change_members(change, Ask::Expel(number), reply);
+            }
+            Ask::Release(lease) => self.on_release(lease, reply),
+            Ask::Vouch(_) | Ask::Recall(..) | Ask::CallOff(..) | Ask::Cancel(_) => {
+                self.reply(reply, Answer::Unsupported);
+            }
+        }
+    }
+
+    fn on_propose(&mut self, data: &[u8], reply: Reply) {
+        match postcard::from_bytes::<Change>(data) {
+            Ok(change) if self.replica.role() == Role::Leader => {
+                let ask = Ask::Propose(data.to_vec());
+                self.propose(&change, Waiting::Encoded(reply), ask);
+            }
+            Ok(_) => self.reply(reply, Answer::Unavailable),
+            Err(_) => self.reply(reply, Answer::Unsupported),
+        }
+    }
+
+    fn change_members(&mut self, change: consensus::Change, ask: Ask, reply: Reply) {
+        if self.replica.role() != Role::Leader {
+            self.forward(ask, Waiting::Plain(reply));
+            return;
+        }
+        match self.replica.change(change) {
+            Ok((position, effects)) => {
+                let waiting = Waiting::Plain(reply);
+                self.waiting
+                    .insert(position.index, (position.term, waiting));
+                self.absorb(effects);
+            }
+            Err(error) => self.reply(reply, Answer::Refused(error.to_string())),
+        }
+    }
+
+    fn on_announce(&mut self, announce: Announce, reply: Reply) {
+        let agent = announce.agent;
+        let document = announce.document;
+        let last = announce.last;
+        if let Arrival::Replaces(old) = self.registry.announce(announce, self.now)
+            && self.share.knows(old)
+        {
+            self.journal(Event::Lost(old));
+        }
+        let known = self.share.knows(agent);
+        if last && known {
+            self.journal(Event::Left(agent));
+        } else if !last && !known {
+            self.journal(Event::Met(agent));
+        }
+        let news = self.news(document);
+        let delta = routing::Delta::default();
+        self.reply(reply, Answer::News(delta, news));
+    }
+
+    fn on_watch(&mut self, watch: &Watch, reply: Reply) {
+        self.entries.insert(watch.entry, (watch.document, self.now));
+        let delta = self.registry.since(watch.version, watch.entry, self.now);
+        let news = self.news(watch.document);
+        self.reply(reply, Answer::News(delta, news));
+    }
+
+    /// Returns what leads from the document with `number` to the one in force.
+    fn news(&self, number: u64) -> News {
+        let register = &self.site.register;
+        if register.current().number <= number {
+            return News::None;
+        }
+        match register.patches_since(number).filter(|_| number > 0) {
+            Some(patches) => News::Patches(patches),
+            None => News::Whole(Box::new(register.current().as_ref().clone())),
+        }
+    }
+
+    fn on_draw(&mut self, draw: Draw, reply: Reply) {
+        let lease = draw.lease;
+        for demand in &draw.demands {
+            let event = self
+                .share
+                .decide_return(lease, demand.team, demand.returned);
+            if let Some(event) = event {
+                self.journal(event);
+            }
+        }
+        if draw.close {
+            self.close(lease);
+            self.reply(reply, Answer::Done);
+            return;
+        }
+        if self.tenancies.ended(lease, self.now) {
+            self.reply(reply, Answer::Ended);
+            return;
+        }
+        self.tenancies.renew(lease, self.now);
+        self.holders.insert(lease, draw.address);
+        for demand in &draw.demands {
+            let sum = self.demand.entry(demand.team).or_default();
+            *sum = sum.plus(demand.extra);
+        }
+        self.waiters.push(Waiter {
+            lease,
+            demands: draw.demands,
+            until: self.now + DRAW_WAIT,
+            reply,
+        });
+        self.serve_waiters();
+        if !self.waiters.is_empty() {
+            self.post(false);
+            self.recall_for_waiters();
+        }
+    }
+
+    /// Grants what can be granted; answers draws that are met or too old.
+    fn serve_waiters(&mut self) {
+        let waiters = std::mem::take(&mut self.waiters);
+        for mut waiter in waiters {
+            for place in 0..waiter.demands.len() {
+                let demand = waiter.demands[place];
+                if self.grant(waiter.lease, &demand) {
+                    waiter.demands[place].need = Tokens::ZERO;
+                    waiter.demands[place].extra = Tokens::ZERO;
+                }
+            }
+            let met = waiter.demands.iter().all(|demand| demand.need.is_zero());
+            if met || self.now >= waiter.until {
+                let granted = waiter.demands.iter().map(|demand| Granted {
+                    team: demand.team,
+                    total: self.share.grant(waiter.lease, demand.team).granted,
+                    exhausted: !demand.need.is_zero(),
+                });
+                let granted = granted.collect();
+                self.reply(waiter.reply, Answer::Granted(granted));
+            } else {
+                self.waiters.push(waiter);
+            }
+        }
+    }
+
+    /// Grants a demand; returns whether its need is met.
+    fn grant(&mut self, lease: LeaseId, demand: &Demand) -> bool {
+        let Demand {
+            team, need, extra, ..
+        } = *demand;
+        let allotted = self.site.ledger.allotted(self.id, team);
+        let event = self.share.decide_grant(lease, team, need, extra, allotted);
+        let met = need.is_zero() || event.is_some();
+        if let Some(event) = event {
+            self.journal(event);
+        }
+        met
+    }
+
+    fn close(&mut self, lease: LeaseId) {
+        if self.share.leases().any(|open| open == lease) {
+            self.journal(Event::Closed(lease));
+        }
+        self.tenancies.close(lease);
+        self.holders.remove(&lease);
+    }
+
+    fn on_receipts(&mut self, receipts: &[Receipt], reply: Reply) {
+        let mut bills = Vec::with_capacity(receipts.len());
+        for receipt in receipts {
+            let (bill, event) = self.share.decide_receipt(receipt);
+            if let Some(event) = event {
+                self.journal(event);
+            }
+            bills.push(bill);
+        }
+        self.reply(reply, Answer::Bills(bills));
+    }
+
+    fn on_submit(&mut self, document: &config::Document, operator: String, reply: Reply) {
+        let digest = config::write::digest(document);
+        let earlier = self.site.register.earlier(document.number, &digest);
+        if let Some(answer) = earlier {
+            self.reply(reply, Answer::Verdict(verdict(answer)));
+            return;
+        }
+        let mut faults = check::document(document);
+        let current = self.site.register.current().clone();
+        if document.follows == current.number {
+            let mut world = self.site.world();
+            for endpoint in self.registry.present() {
+                let serves = endpoint.serves.clone();
+                world.serving.insert(endpoint.name.clone(), serves);
+            }
+            faults.extend(check::change(&current, document, &world));
+        }
+        if !faults.is_empty() {
+            self.reply(reply, Answer::Verdict(Verdict::Faulty(faults)));
+            return;
+        }
+        let mut submission = register::submission(&current, document, &operator);
+        // A document that follows another number is answered by the log.
+        submission.patch.follows = document.follows;
+        let ask = Ask::Submit(Box::new(document.clone()), operator);
+        self.propose(&Change::Submit(submission), Waiting::Submit(reply), ask);
+    }
+
+    fn on_top_up(&mut self, topup: TopUp, reply: Reply) {
+        let known = self.site.register.current().team(topup.team).is_some();
+        if !known {
+            let credit = Credit::Refused("the document has no such team".to_owned());
+            self.reply(reply, Answer::Credit(credit));
+            return;
+        }
+        match topup.id.home() {
+            ledger::Home::Ledger => {
+                let change = Change::Ledger(Command::TopUp(topup.clone()));
+                self.propose(&change, Waiting::TopUp(reply), Ask::TopUp(topup));
+            }
+            ledger::Home::Keeper(home) if home != self.id => {
+                if let Some(&address) = self.peers.get(&home) {
+                    let ask = Ask::TopUp(topup);
+                    self.out.push(Output::Forward(address, ask, reply));
+                } else {
+                    let credit = Credit::Refused(format!("{home} is unknown"));
+                    self.reply(reply, Answer::Credit(credit));
+                }
+            }
+            ledger::Home::Keeper(_) => {
+                let credit = match self.share.decide_top_up(&topup) {
+                    Ok(Some(event)) => {
+                        self.journal(event);
+                        Credit::Local
+                    }
+                    Ok(None) => Credit::Repeated,
+                    Err(error) => Credit::Refused(error.to_string()),
+                };
+                self.reply(reply, Answer::Credit(credit));
+                self.serve_waiters();
+                self.post(false);
+            }
+        }
+    }
+
+    fn on_release(&mut self, lease: LeaseId, reply: Reply) {
+        match self.tenancies.standing(lease, &self.share, self.now) {
+            Standing::Held(_) | Standing::Clear => {
+                log::warn!("keeper: an operator released lease {lease}");
+                self.close(lease);
+                self.reply(reply, Answer::Done);
+            }
+            Standing::Live | Standing::Waiting(_) => {
+                let reason = "the lease is in use or its agents can still be asked";
+                self.reply(reply, Answer::Refused(reason.to_owned()));
+            }
+        }
+    }
+
+    fn on_tick(&mut self, wall: u64) {
+        let effects = self.replica.tick(wall);
+        self.absorb(effects);
+        self.serve_waiters();
+        self.recall_for_waiters();
+        self.return_to_others();
+        self.post(true);
+        if self.now.since(self.swept) >= SWEEP {
+            self.swept = self.now;
+            self.sweep();
+        }
+    }
+
+    /// Forms the next batch for the ledger, or sends the last one again.
+    fn post(&mut self, again: bool) {
+        let asks = self.changed_wants();
+        if self.share.batch().is_none() && (self.share.pending() || !asks.is_empty()) {
+            self.post_batch(asks, &[]);
+            return;
+        }
+        let late = self.now.since(self.batch_sent) >= BATCH_RETRY;
+        if again && late && self.share.batch().is_some() {
+            self.send_batch();
+        }
+    }
+
+    fn post_batch(&mut self, asks: Vec<(TeamId, Want)>, returns: &[(TeamId, Tokens)]) {
+        let moves = asks
+            .iter()
+            .map(|&(team, want)| Move::Ask { team, want })
+            .collect();
+        let event = self.share.decide_batch(moves, returns, &self.site.ledger);
+        if let Some(event) = event {
+            self.asked.extend(asks);
+            self.asked.retain(|_, want| !want.need.is_zero());
+            self.journal(event);
+            self.send_batch();
+        }
+    }
+
+    fn send_batch(&mut self) {
+        let Some(batch) = self.share.batch().cloned() else {
+            return;
+        };
+        self.batch_sent = self.now;
+        let change = Change::Ledger(Command::Post(batch));
+        if self.replica.role() == Role::Leader {
+            let Ok(data) = postcard::to_stdvec(&change) else {
+                return;
+            };
+            if let Ok((_, effects)) = self.replica.propose(data) {
+                self.absorb(effects);
+            }
+            return;
+        }
+        let leader = self.replica.leader();
+        let address = leader.and_then(|leader| self.peers.get(&leader).copied());
+        if let Some(address) = address
+            && let Ok(data) = postcard::to_stdvec(&change)
+        {
+            self.out.push(Output::Tell(address, Ask::Propose(data)));
+        }
+    }
+
+    /// Returns the needs that differ from what was last asked of the ledger.
+    fn changed_wants(&mut self) -> Vec<(TeamId, Want)> {
+        let mut needs: BTreeMap<TeamId, Tokens> = BTreeMap::new();
+        for waiter in &self.waiters {
+            for demand in waiter.demands.iter().filter(|d| !d.need.is_zero()) {
+                let need = needs.entry(demand.team).or_default();
+                *need = need.plus(demand.need);
+            }
+        }
+        for team in self.asked.keys() {
+            needs.entry(*team).or_default();
+        }
+        let mut changed = Vec::new();
+        for (team, need) in needs {
+            let allotted = self.site.ledger.allotted(self.id, team);
+            let need = need.less(self.share.free(team, allotted));
+            let known = self.asked.get(&team).map_or(Tokens::ZERO, |want| want.need);
+            if need != known {
+                let extra = if need.is_zero() {
+                    Tokens::ZERO
+                } else {
+                    self.demand.remove(&team).unwrap_or_default()
+                };
+                changed.push((team, Want { need, extra }));
+            }
+        }
+        changed
+    }
+
+    /// Asks other holders of this keeper's grants for what a request waits for.
+    fn recall_for_waiters(&mut self) {
+        let mut needs: BTreeMap<TeamId, (Tokens, Vec<LeaseId>)> = BTreeMap::new();
+        for waiter in &self.waiters {
+            for demand in waiter.demands.iter().filter(|d| !d.need.is_zero()) {
+                let (need, leases) = needs.entry(demand.team).or_default();
+                *need = need.plus(demand.need);
+                leases.push(waiter.lease);
+            }
+        }
+        for (team, (need, except)) in needs {
+            self.recall(team, need, &except);
+        }
+    }
+
+    fn recall(&mut self, team: TeamId, need: Tokens, except: &[LeaseId]) {
+        let last = self.recalled.get(&team).copied().unwrap_or_default();
+        if last != Time(0) && self.now.since(last) < RECALL_GAP {
+            return;
+        }
+        self.recalled.insert(team, self.now);
+        for (lease, _) in self.share.holders(team) {
+            if except.contains(&lease) {
+                continue;
+            }
+            if let Some(&address) = self.holders.get(&lease) {
+                self.out.push(Output::Recall(address, team, need));
+            }
+        }
+    }
+
+    /// Returns idle tokens that requests at other keepers wait for.
+    fn return_to_others(&mut self) {
+        let short: Vec<TeamId> = self.site.ledger.short().collect();
+        if short.is_empty() {
+            return;
+        }
+        let mut returns = Vec::new();
+        for team in short {
+            let Some(account) = self.site.ledger.account(team) else {
+                continue;
+            };
+            let own = account
+                .parts
+                .get(&self.id)
+                .map_or(Tokens::ZERO, |p| p.want.need);
+            let need = account.deficit().less(own);
+            let waits = !own.is_zero() || self.asked.contains_key(&team);
+            if need.is_zero() || waits {
+                continue;
+            }
+            let allotted = self.site.ledger.allotted(self.id, team);
+            let free = self.share.free(team, allotted);
+            if !free.is_zero() {
+                returns.push((team, need));
+            }
+            let missing = need.less(free);
+            if !missing.is_zero() {
+                self.recall(team, missing, &[]);
+            }
+        }
+        if !returns.is_empty() && self.share.batch().is_none() {
+            self.post_batch(Vec::new(), &returns);
+        }
+    }
+
+    /// Looks through leases, agents and balances.
+    fn sweep(&mut self) {
+        for agent in self.registry.expire(self.now) {
+            if self.share.knows(agent) {
+                log::warn!("keeper: agent {agent} is silent and counts as lost");
+                self.journal(Event::Lost(agent));
+            }
+            self.registry.forget(agent);
+        }
+        let leases: Vec<LeaseId> = self.share.leases().collect();
+        for lease in leases {
+            match self.tenancies.standing(lease, &self.share, self.now) {
+                Standing::Live | Standing::Held(_) => {}
+                Standing::Waiting(agents) => {
+                    let known = agents.into_iter().filter_map(|a| self.registry.address(a));
+                    let asks: Vec<Output> = known.map(|a| Output::Vouch(a, lease)).collect();
+                    self.out.extend(asks);
+                }
+                Standing::Clear => {
+                    log::info!("keeper: lease {lease} is taken back");
+                    self.close(lease);
+                }
+            }
+        }
+        let now = self.now;
+        self.entries
+            .retain(|_, (_, seen)| now.since(*seen) < ENTRY_SHOWN);
+        for fault in verify::ledger(&self.site.ledger) {
+            self.faults += 1;
+            log::error!("keeper: the budgets don't add up: {fault}");
+        }
+    }
+
+    fn status(&self) -> Status {
+        let document = self.site.register.current();
+        let names: Map<TeamId, &str> = document
+            .teams
+            .keys()
+            .map(|name| (TeamId::named(name), name.as_str()))
+            .collect();
+        let mut balances: Vec<Balance> = self
+            .site
+            .ledger
+            .accounts()
+            .iter()
+            .map(|(team, account)| Balance {
+                team: names.get(team).map_or(team.to_string(), |&n| n.to_owned()),
+                credits: account.credits,
+                free: account.free,
+                held: account.held(),
+                settled: account.settled,
+            })
+            .collect();
+        balances.sort_by(|a, b| a.team.cmp(&b.team));
+        let held = self
+            .share
+            .leases()
+            .filter(|lease| self.is_held(*lease))
+            .map(|lease| (lease, self.share.held(lease)))
+            .collect();
+        let mut entries: Vec<(EntryId, u64)> = self
+            .entries
+            .iter()
+            .map(|(&entry, &(document, _))| (entry, document))
+            .collect();
+        entries.sort_unstable();
+        Status {
+            keeper: self.id.0,
+            domain: self.domain.clone(),
+            leads: self.replica.role() == Role::Leader,
+            leader: self.replica.leader().map(|id| id.0),
+            term: self.replica.term(),
+            applied: self.replica.commit(),
+            document: document.number,
+            endpoints: self.registry.present().cloned().collect(),
+            balances,
+            held,
+            entries,
+            faults: self.faults,
+        }
+    }
+
+    fn is_held(&self, lease: LeaseId) -> bool {
+        let standing = self.tenancies.standing(lease, &self.share, self.now);
+        matches!(standing, Standing::Held(_))
+    }
+
+    /// Returns the question that a keeper without a seat sends to join.
+    #[must_use]
+    pub fn join(&self) -> Option<Ask> {
+        let member = self.replica.members().disk(self.id).is_some();
+        (!member).then_some(Ask::Join(self.id.0, self.disk))
+    }
+}
+
+fn verdict(answer: config::Answer) -> Verdict {
+    match answer {
+        config::Answer::Accepted(accepted) => Verdict::Accepted(accepted),
+        config::Answer::Lost(accepted) => Verdict::Lost(accepted),
+        config::Answer::Stale { current } => Verdict::Stale(current),
+        config::Answer::Faulty(faults) => Verdict::Faulty(faults),
+    }
+}
+
+fn credit(outcome: &Outcome) -> Credit {
+    match outcome {
+        Outcome::Applied => Credit::Replicated,
+        Outcome::Repeated => Credit::Repeated,
+        Outcome::Refused(refusal) => Credit::Refused(refusal.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/process.rs
@@ -0,0 +1,276 @@
+//! One process with one or more roles.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Timer;
+use base::time::Clock;
+use fleet::Answer;
+use fleet::Ask;
+use fleet::FleetError;
+use fleet::Keys;
+use fleet::Node;
+use fleet::Service;
+use fleet::node::BoxFuture;
+use platform::Health;
+use platform::Pool;
+use platform::http::Server;
+use platform::http::reply;
+use platform::metrics::Metrics;
+use thiserror::Error;
+
+use crate::agent;
+use crate::agent::Agent;
+use crate::entry;
+use crate::entry::Entry;
+use crate::keeper::Keeper;
+use crate::keeper::KeeperError;
+use crate::keeper::driver;
+use crate::settings::Settings;
+
+/// Why a process can't start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// The transport or the keys can't be used.
+    #[error(transparent)]
+    Fleet(#[from] FleetError),
+    /// The keeper can't start.
+    #[error(transparent)]
+    Keeper(#[from] KeeperError),
+    /// An address can't be bound.
+    #[error("{address} can't be bound: {source}")]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: io::Error,
+    },
+}
+
+/// A running process.
+#[derive(Clone)]
+pub struct Process {
+    /// The connections to peers.
+    pub node: Node,
+    /// The entry role.
+    pub entry: Option<Entry>,
+    /// The agent role.
+    pub agent: Option<Agent>,
+    /// The keeper role.
+    pub keeper: Option<Keeper>,
+    /// Whether the process takes new callers.
+    pub health: Health,
+    /// The metrics.
+    pub metrics: Metrics,
+    settings: Settings,
+}
+
+/// The roles that answer peers; the entry is bound after the node.
+#[derive(Clone)]
+struct Roles {
+    entry: Arc<async_lock::OnceCell<Entry>>,
+    agent: Option<Agent>,
+    keeper: Option<Keeper>,
+}
+
+impl Roles {
+    async fn ask(self, ask: Ask) -> Answer {
+        match &ask {
+            Ask::Recall(..) => match self.entry.get() {
+                Some(entry) => entry.ask(&ask),
+                None => Answer::Unsupported,
+            },
+            Ask::Vouch(_) | Ask::CallOff(..) | Ask::Cancel(_) => match &self.agent {
+                Some(agent) => agent.ask(&ask),
+                None => Answer::Unsupported,
+            },
+            _ => match &self.keeper {
+                Some(keeper) => keeper.ask(ask).await,
+                None => Answer::Unsupported,
+            },
+        }
+    }
+
+    fn service(&self) -> Service {
+        let roles = self.clone();
+        let agent = self.agent.clone();
+        Service {
+            ask: Arc::new(move |_, ask| Box::pin(roles.clone().ask(ask)) as BoxFuture<Answer>),
+            open: Arc::new(move |open, frames| {
+                let agent = agent.clone();
+                let serve = async move {
+                    if let Some(agent) = agent {
+                        agent.open(open, frames).await;
+                    }
+                };
+                Box::pin(serve) as BoxFuture<()>
+            }),
+        }
+    }
+}
+
+impl Process {
+    /// Starts the roles of `settings` on `pool`.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the keys, the data folder or an address can't be used.
+    pub fn spawn(pool: &Pool, settings: &Settings) -> Result<Self, StartError> {
+        let clock = Clock::start();
+        let keys = Keys::open(&settings.keys, &settings.name)?;
+        let (sender, receiver) = async_channel::bounded(1);
+        let keeper = match &settings.keeper {
+            Some(role) => {
+                let context = driver::Context {
+                    pool: pool.clone(),
+                    clock,
+                    peers: settings.keepers.clone(),
+                    domain: settings.domain.clone(),
+                };
+                Some(Keeper::open(&context, role, receiver)?)
+            }
+            None => None,
+        };
+        let agent = settings.agent.as_ref().map(|role| {
+            let context = agent::Context {
+                pool: pool.clone(),
+                clock,
+                keepers: settings.keepers.clone(),
+                domain: settings.domain.clone(),
+            };
+            Agent::spawn(&context, role)
+        });
+        let roles = Roles {
+            entry: Arc::default(),
+            agent: agent.clone(),
+            keeper: keeper.clone(),
+        };
+        let node = Node::bind(pool, settings.listen, &keys, roles.service())?;
+        let _ = sender.try_send(node.clone());
+        if let Some(agent) = &agent {
+            agent.start(&node);
+        }
+        let health = Health::default();
+        let metrics = Metrics::default();
+        health.set_ready(settings.entry.is_none());
+        let entry = match &settings.entry {
+            Some(role) => {
+                let context = entry::Context {
+                    pool: pool.clone(),
+                    clock,
+                    keepers: settings.keepers.clone(),
+                    domain: settings.domain.clone(),
+                    name: settings.name.clone(),
+                    health: health.clone(),
+                    metrics: metrics.clone(),
+                };
+                let bound = Entry::bind(&context, role, &node);
+                Some(bound.map_err(|source| StartError::Bind {
+                    address: role.callers,
+                    source,
+                })?)
+            }
+            None => None,
+        };
+        if let Some(entry) = &entry {
+            // Set once, before any peer can know of this process.
+            let _ = roles.entry.set_blocking(entry.clone());
+        }
+        let process = Self {
+            node,
+            entry,
+            agent,
+            keeper,
+            health,
+            metrics,
+            settings: settings.clone(),
+        };
+        process.serve_platform(pool)?;
+        pool.spawn(rotate(process.node.clone(), settings.clone()));
+        Ok(process)
+    }
+
+    /// Serves health, metrics and service-level counts to the platform.
+    fn serve_platform(&self, pool: &Pool) -> Result<(), StartError> {
+        let Some(address) = self.settings.platform else {
+            return Ok(());
+        };
+        let process = self.clone();
+        let faults = self.metrics.gauge(
+            "keeper_conservation_faults",
+            "Breaches of the conservation law seen by this keeper",
+        );
+        let handler = move |request: http_types::Request| {
+            if let Some(keeper) = &process.keeper {
+                faults.set(i64::try_from(keeper.faults()).unwrap_or(i64::MAX));
+            }
+            let response = process.platform_page(request.url().path());
+            Box::pin(std::future::ready(response)) as platform::http::BoxFuture<_>
+        };
+        let bound = Server::bind(pool, address, Arc::new(handler));
+        bound.map_err(|source| StartError::Bind { address, source })?;
+        Ok(())
+    }
+
+    fn platform_page(&self, path: &str) -> http_types::Response {
+        match path {
+            "/health" if self.health.serving() => reply(200, "text/plain", "serving\n"),
+            "/health" => reply(503, "text/plain", "not serving\n"),
+            "/metrics" => {
+                let media = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+                reply(200, media, self.metrics.page())
+            }
+            "/service-level" => {
+                let slots = self.entry.as_ref().map(|entry| entry.meter().slots());
+                let body = serde_json::to_string(&slots.unwrap_or_default());
+                reply(200, "application/json", body.unwrap_or_default())
+            }
+            _ => reply(404, "text/plain", "no such page\n"),
+        }
+    }
+
+    /// Stops as planned: callers first, then the endpoint, then the keeper.
+    pub async fn stop(&self) {
+        if let Some(entry) = &self.entry {
+            entry.stop().await;
+        }
+        if let Some(agent) = &self.agent {
+            agent.stop(&self.node).await;
+        }
+        if let Some(keeper) = &self.keeper {
+            keeper.stop().await;
+        }
+        self.node.close();
+    }
+}
+
+/// Time between two looks at the files of keys.
+const KEYS_LOOK: Duration = Duration::from_secs(5);
+
+/// Uses new keys once their files change.
+async fn rotate(mut node: Node, settings: Settings) {
+    let path = settings.keys.join(format!("{}.pem", settings.name));
+    let stamp = || {
+        std::fs::metadata(&path)
+            .and_then(|meta| meta.modified())
+            .ok()
+    };
+    let mut known = stamp();
+    loop {
+        Timer::after(KEYS_LOOK).await;
+        let found = stamp();
+        if found == known {
+            continue;
+        }
+        let keys = Keys::open(&settings.keys, &settings.name);
+        match keys.and_then(|keys| node.rotate(&keys)) {
+            Ok(()) => {
+                log::info!("fleet: new keys are in use");
+                known = found;
+            }
+            Err(error) => log::warn!("fleet: the new keys can't be used: {error}"),
+        }
+    }
+}
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -11,6 +11,7 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::time::Duration;
+use std::time::Instant;
 
 use async_io::Timer;
 use base::Map;
@@ -35,6 +36,9 @@
 /// How long making a connection may take.
 const CONNECT_TIME: Duration = Duration::from_millis(1_500);
 
+/// How long a peer counts as down after a failure to connect.
+const RETRY_GAP: Duration = Duration::from_millis(200);
+
 /// Silence after which a connection counts as broken.
 const IDLE_TIME: Duration = Duration::from_secs(5);
 
@@ -105,11 +109,23 @@
     }
 }
 
+/// The connection to one peer; the lock lets one task at a time connect.
+#[derive(Default)]
+struct Peer {
+    link: async_lock::Mutex<Link>,
+}
+
+#[derive(Default)]
+struct Link {
+    open: Option<quinn::Connection>,
+    failed: Option<Instant>,
+}
+
 /// A process's connections.
 #[derive(Clone)]
 pub struct Node {
     endpoint: quinn::Endpoint,
-    peers: Arc<Mutex<Map<SocketAddr, quinn::Connection>>>,
+    peers: Arc<Mutex<Map<SocketAddr, Arc<Peer>>>>,
     address: SocketAddr,
 }
 
@@ -215,11 +231,7 @@
             let answer = codec::read(&mut receiver).await?;
             answer.ok_or_else(|| FleetError::Broken("no answer".to_owned()))
         };
-        let answer = exchange.or(timeout(patience.into())).await;
-        if let Err(FleetError::Broken(_)) = answer {
-            self.drop_closed(address);
-        }
-        answer
+        exchange.or(timeout(patience.into())).await
     }
 
     /// Opens a stream of frames from the peer at `address`.
@@ -239,22 +251,39 @@
         address: SocketAddr,
     ) -> Result<(quinn::SendStream, quinn::RecvStream), FleetError> {
         let connection = self.connection(address).await?;
-        match connection.open_bi().await {
-            Ok(streams) => Ok(streams),
-            Err(error) => {
-                self.drop_closed(address);
-                Err(FleetError::Connect(error.to_string()))
-            }
-        }
+        let streams = connection.open_bi().await;
+        streams.map_err(|error| FleetError::Connect(error.to_string()))
     }
 
+    /// Returns the connection to a peer, made anew where it's closed.
+    ///
+    /// After a failure others fail at once for a while: a peer that is down costs
+    /// one attempt at a time.
     async fn connection(&self, address: SocketAddr) -> Result<quinn::Connection, FleetError> {
-        let known = self.peers().get(&address).cloned();
-        if let Some(connection) = known
-            && connection.close_reason().is_none()
+        let peer = Arc::clone(self.peers().entry(address).or_default());
+        let mut link = peer.link.lock().await;
+        if let Some(open) = &link.open
+            && open.close_reason().is_none()
         {
-            return Ok(connection);
+            return Ok(open.clone());
         }
+        if link.failed.is_some_and(|at| at.elapsed() < RETRY_GAP) {
+            return Err(FleetError::Connect("failed just now".to_owned()));
+        }
+        let connected = self.connect(address).await;
+        match &connected {
+            Ok(connection) => {
+                *link = Link {
+                    open: Some(connection.clone()),
+                    failed: None,
+                }
+            }
+            Err(_) => link.failed = Some(Instant::now()),
+        }
+        connected
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<quinn::Connection, FleetError> {
         let connecting = self
             .endpoint
             .connect(address, FLEET_NAME)
@@ -267,20 +296,10 @@
             Timer::after(CONNECT_TIME).await;
             Err(FleetError::Connect("timed out".to_owned()))
         };
-        let connection = connect.or(late).await?;
-        self.peers().insert(address, connection.clone());
-        Ok(connection)
-    }
-
-    fn drop_closed(&self, address: SocketAddr) {
-        let closed = |c: &quinn::Connection| c.close_reason().is_some();
-        let mut peers = self.peers();
-        if peers.get(&address).is_some_and(closed) {
-            peers.remove(&address);
-        }
+        connect.or(late).await
     }
 
-    fn peers(&self) -> std::sync::MutexGuard<'_, Map<SocketAddr, quinn::Connection>> {
+    fn peers(&self) -> std::sync::MutexGuard<'_, Map<SocketAddr, Arc<Peer>>> {
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -191,8 +191,9 @@
     Vouch(LeaseId),
     /// A keeper asks an entry to give back unreserved tokens.
     Recall(TeamId, Tokens),
-    /// An entry calls a request off; the answer says whether it never starts.
-    CallOff(RequestId),
+    /// An entry calls a request off at the process that it was sent to; the answer
+    /// says whether it never starts.
+    CallOff(AgentId, RequestId),
     /// An entry's caller no longer wants the answer.
     Cancel(RequestId),
     /// A keeper forwards a command to the leader.
@@ -267,6 +268,8 @@
         request: RequestId,
         /// The digest of the caller's body.
         digest: Digest,
+        /// The attempt that the frames are to carry.
+        attempt: u32,
         /// The bytes that the receiver has.
         offset: u64,
     },
--- a/crates/ledger/src/central.rs
+++ b/crates/ledger/src/central.rs
@@ -5,6 +5,7 @@
 //! number: a batch that comes twice is applied once.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use base::KeeperId;
 use base::Map;
@@ -132,6 +133,17 @@
     Credit(TopUp),
 }
 
+impl Move {
+    /// Returns the team whose tokens move.
+    #[must_use]
+    pub fn team(&self) -> TeamId {
+        match self {
+            Self::Ask { team, .. } | Self::Return { team, .. } | Self::Settle { team, .. } => *team,
+            Self::Credit(topup) => topup.team,
+        }
+    }
+}
+
 /// A numbered group of moves of one keeper.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Batch {
@@ -148,6 +160,8 @@
 pub enum Command {
     /// Credits a top-up whose home is the ledger.
     TopUp(TopUp),
+    /// Takes free tokens back, where a document lowers a budget.
+    Withdraw(TopUp),
     /// Applies a keeper's batch.
     Post(Batch),
     /// Bars a keeper for good: its later batches are refused.
@@ -190,6 +204,9 @@
     /// The keeper moves more than it holds.
     #[error("the keeper moves more tokens than it holds")]
     Overdrawn,
+    /// Fewer tokens are free than are to be withdrawn.
+    #[error("fewer tokens are free than are to be withdrawn")]
+    NotFree,
     /// The credits would exceed the largest amount.
     #[error("the credits exceed the largest amount")]
     Overflow,
@@ -204,6 +221,7 @@
     retired: BTreeMap<KeeperId, bool>,
     billed: Billed,
     duplicates: u64,
+    short: BTreeSet<TeamId>,
 }
 
 impl Ledger {
@@ -248,8 +266,36 @@
 
     /// Applies `command`, committed at `at` milliseconds of the log's own time.
     pub fn apply(&mut self, command: &Command, at: u64) -> Outcome {
+        let outcome = self.change(command, at);
+        self.note_short(command);
+        outcome
+    }
+
+    /// Returns the teams for which a keeper waits in need.
+    pub fn short(&self) -> impl Iterator<Item = TeamId> + '_ {
+        self.short.iter().copied()
+    }
+
+    fn note_short(&mut self, command: &Command) {
+        let touched: Vec<TeamId> = match command {
+            Command::TopUp(change) | Command::Withdraw(change) => vec![change.team],
+            Command::Post(batch) => batch.moves.iter().map(Move::team).collect(),
+            Command::Retire(_) | Command::Release(_) => self.short.iter().copied().collect(),
+        };
+        for team in touched {
+            let account = self.accounts.get(&team);
+            if account.is_some_and(|account| !account.deficit().is_zero()) {
+                self.short.insert(team);
+            } else {
+                self.short.remove(&team);
+            }
+        }
+    }
+
+    fn change(&mut self, command: &Command, at: u64) -> Outcome {
         match command {
             Command::TopUp(topup) => self.top_up(topup),
+            Command::Withdraw(change) => self.withdraw(change),
             Command::Post(batch) => self.post(batch, at),
             Command::Retire(keeper) => self.retire(*keeper),
             Command::Release(keeper) => self.release(*keeper),
@@ -275,6 +321,24 @@
         Outcome::Applied
     }
 
+    fn withdraw(&mut self, change: &TopUp) -> Outcome {
+        if let Some(earlier) = self.topups.get(&change.id) {
+            if *earlier == (change.team, change.amount) {
+                return Outcome::Repeated;
+            }
+            return Outcome::Refused(Refusal::OtherTopUp);
+        }
+        let account = self.accounts.entry(change.team).or_default();
+        let Some(free) = account.free.checked_sub(change.amount) else {
+            return Outcome::Refused(Refusal::NotFree);
+        };
+        account.free = free;
+        account.credits = account.credits.less(change.amount);
+        self.topups
+            .insert(change.id.clone(), (change.team, change.amount));
+        Outcome::Applied
+    }
+
     fn post(&mut self, batch: &Batch, at: u64) -> Outcome {
         let last = self.posted(batch.keeper);
         if batch.number <= last {
--- a/crates/ledger/src/text.rs
+++ b/crates/ledger/src/text.rs
@@ -57,6 +57,9 @@
 pub fn write(command: &Command) -> String {
     match command {
         Command::TopUp(topup) => format!("topup {} {} {}", topup.id, topup.team, topup.amount),
+        Command::Withdraw(change) => {
+            format!("withdraw {} {} {}", change.id, change.team, change.amount)
+        }
         Command::Post(batch) => {
             let mut out = format!("post {} {}", batch.keeper.0, batch.number);
             for step in &batch.moves {
@@ -94,6 +97,7 @@
     let kind = words.next().unwrap_or_default();
     let command = match kind {
         "topup" => Command::TopUp(read_topup(&mut words)?),
+        "withdraw" => Command::Withdraw(read_topup(&mut words)?),
         "post" => {
             let keeper = KeeperId(number32(words.next(), "keeper")?);
             let number = number(words.next(), "number")?;
--- a/crates/ledger/src/wallet.rs
+++ b/crates/ledger/src/wallet.rs
@@ -12,7 +12,7 @@
 use base::Tokens;
 
 /// How long a lease lasts after the message that renewed it was sent.
-pub const LEASE: Span = Span::secs(10);
+pub const LEASE: Span = Span::secs(30);
 
 /// The largest drift assumed between two monotonic clocks, in parts in a million.
 pub const DRIFT_PPM: u64 = 1_000;
--- /dev/null
+++ b/crates/mulberryctl/src/bench.rs
@@ -0,0 +1,1 @@
+//! Loads and experiments, as JSON.
--- /dev/null
+++ b/crates/mulberryctl/src/init.rs
@@ -0,0 +1,1 @@
+//! The files of a site of several processes.
--- /dev/null
+++ b/crates/mulberryctl/src/lib.rs
@@ -0,0 +1,17 @@
+//! The operators' and maintainers' tool.
+//!
+//! - [`bench`]: loads and experiments, as JSON.
+//! - [`client`]: a caller that checks what it gets.
+//! - [`command`]: the subcommands and their options.
+//! - [`demo`]: a small site in one process.
+//! - [`init`]: the files of a site of several processes.
+//! - [`operate`]: commands of operators.
+//! - [`site`]: a site on loopback with stand-ins.
+
+pub mod bench;
+pub mod client;
+pub mod command;
+pub mod demo;
+pub mod init;
+pub mod operate;
+pub mod site;
--- a/crates/mulberryctl/src/main.rs
+++ b/crates/mulberryctl/src/main.rs
@@ -1,2 +1,9 @@
-//! Placeholder while the workspace is set up.
-fn main() {}
+//! The operators' and maintainers' tool.
+
+use std::env;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let args: Vec<String> = env::args().skip(1).collect();
+    mulberryctl::command::run(&args)
+}
--- /dev/null
+++ b/crates/mulberryctl/src/operate.rs
@@ -0,0 +1,1 @@
+//! Commands of operators.
--- a/crates/request/src/assembly.rs
+++ b/crates/request/src/assembly.rs
@@ -32,6 +32,7 @@
     request: RequestId,
     attempt: u32,
     bytes: Vec<u8>,
+    tokens: u64,
     dropped: u64,
     done: bool,
 }
@@ -44,6 +45,7 @@
             request,
             attempt: 1,
             bytes: Vec::new(),
+            tokens: 0,
             dropped: 0,
             done: false,
         }
@@ -55,6 +57,12 @@
         &self.bytes
     }
 
+    /// Returns the tokens so far.
+    #[must_use]
+    pub fn tokens(&self) -> u64 {
+        self.tokens
+    }
+
     /// Returns the present attempt.
     #[must_use]
     pub fn attempt(&self) -> u32 {
@@ -80,13 +88,17 @@
             return Step::Dropped;
         }
         match frame.body {
-            Body::Piece { offset, bytes } => self.piece(offset, &bytes),
+            Body::Piece {
+                offset,
+                bytes,
+                tokens,
+            } => self.piece(offset, &bytes, tokens),
             Body::Final(end) => self.end(end),
             Body::Refused(refusal) => Step::Refused(refusal),
         }
     }
 
-    fn piece(&mut self, offset: u64, bytes: &[u8]) -> Step {
+    fn piece(&mut self, offset: u64, bytes: &[u8], tokens: u64) -> Step {
         let length = self.bytes.len();
         // A piece may repeat bytes that are here, and must not leave a hole.
         let skip = length.checked_sub(usize::try_from(offset).unwrap_or(usize::MAX));
@@ -100,6 +112,7 @@
             return Step::Dropped;
         }
         self.bytes.extend_from_slice(fresh);
+        self.tokens = tokens;
         Step::Grown(length)
     }
 
--- a/crates/request/src/claims.rs
+++ b/crates/request/src/claims.rs
@@ -4,8 +4,8 @@
 //! it stands nobody else may start the call; only proof that it hasn't started
 //! and never will frees it.
 
+use base::AgentId;
 use base::Digest;
-use base::EndpointId;
 use base::EntryId;
 use base::Map;
 use base::RequestId;
@@ -24,8 +24,8 @@
     pub digest: Digest,
     /// The entry that claims.
     pub entry: EntryId,
-    /// The endpoint that the call is sent to.
-    pub endpoint: EndpointId,
+    /// The process that the call is sent to.
+    pub agent: AgentId,
     /// Draws apart two claims of the same entry.
     pub nonce: u64,
 }
--- a/crates/request/src/frame.rs
+++ b/crates/request/src/frame.rs
@@ -55,8 +55,10 @@
     pub left: Span,
     /// Tokens that the prompt counts for.
     pub prompt: Tokens,
-    /// Most tokens that may be generated.
+    /// Most tokens that may be generated, those of a prefix included.
     pub cap: Tokens,
+    /// Tokens of the prefix that the caller already has.
+    pub done: Tokens,
     /// How much longer the caller waits.
     pub patience: Span,
     /// Whether the request may run more than once.
@@ -112,6 +114,8 @@
     Cancelled,
     /// The endpoint failed; the answer is not whole.
     Failed,
+    /// The endpoint could not be reached; the request did not run.
+    NotRun,
 }
 
 /// The last event of an answer.
@@ -156,6 +160,8 @@
         offset: u64,
         /// The bytes.
         bytes: Vec<u8>,
+        /// Tokens in the answer up to the end of these bytes.
+        tokens: u64,
     },
     /// The answer is complete.
     Final(Final),
--- a/crates/request/src/gate.rs
+++ b/crates/request/src/gate.rs
@@ -81,6 +81,11 @@
         self.room
     }
 
+    /// Sets how many requests may run together.
+    pub fn set_room(&mut self, room: usize) {
+        self.room = room;
+    }
+
     /// Returns whether the endpoint takes no new work.
     #[must_use]
     pub fn leaving(&self) -> bool {
--- a/crates/request/src/records.rs
+++ b/crates/request/src/records.rs
@@ -6,6 +6,7 @@
 
 use std::net::SocketAddr;
 
+use base::AgentId;
 use base::Digest;
 use base::KeeperId;
 use base::Map;
@@ -30,8 +31,10 @@
     pub digest: Digest,
     /// The attempt.
     pub attempt: u32,
-    /// The agent that has the order.
-    pub agent: SocketAddr,
+    /// The process that has the order.
+    pub agent: AgentId,
+    /// Where that process takes orders.
+    pub address: SocketAddr,
     /// Draws apart two orders of the same request.
     pub nonce: u64,
 }
--- a/crates/request/src/spool.rs
+++ b/crates/request/src/spool.rs
@@ -14,16 +14,21 @@
 #[derive(Clone, Debug, Default)]
 pub struct Spool {
     bytes: Vec<u8>,
+    /// The offset after each token generated here.
+    marks: Vec<usize>,
+    /// Tokens of the prefix.
+    done: u64,
     end: Option<Final>,
 }
 
 impl Spool {
-    /// Returns a spool that continues `prefix`, which the receiver has.
+    /// Returns a spool that continues a `prefix` of `done` tokens.
     #[must_use]
-    pub fn after(prefix: &[u8]) -> Self {
+    pub fn after(prefix: &[u8], done: Tokens) -> Self {
         Self {
             bytes: prefix.to_vec(),
-            end: None,
+            done: done.0,
+            ..Self::default()
         }
     }
 
@@ -45,11 +50,12 @@
         self.end.as_ref()
     }
 
-    /// Adds bytes; returns whether they were taken.
+    /// Adds one token's bytes; returns whether they were taken.
     pub fn push(&mut self, bytes: &[u8]) -> bool {
         let open = self.end.is_none() && self.bytes.len() + bytes.len() <= MAX_ANSWER;
         if open {
             self.bytes.extend_from_slice(bytes);
+            self.marks.push(self.bytes.len());
         }
         open
     }
@@ -78,6 +84,7 @@
             Some(rest) if !rest.is_empty() => Some(Body::Piece {
                 offset,
                 bytes: rest.to_vec(),
+                tokens: self.done + self.marks.len() as u64,
             }),
             _ => self.end.clone().map(Body::Final),
         }
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -186,6 +186,14 @@
         self.endpoints.iter().filter(|e| e.usable(now)).count()
     }
 
+    /// Returns how many requests the usable endpoints take together.
+    #[must_use]
+    pub fn capacity(&self, serves: u64, now: Time) -> u32 {
+        let usable = self.endpoints.iter().filter(|e| e.usable(now));
+        let serving = usable.filter(|e| e.info.serves.contains(&serves));
+        serving.map(|endpoint| endpoint.limit.get()).sum()
+    }
+
     /// Takes in what an endpoint is and its load.
     pub fn report(&mut self, info: &Info, load: Load, now: Time) {
         let slot = match self.slot(info.id) {
