Draw tokens until nobody has any, and start endpoints at full room

Cause: three faults, found by timing the demo's requests. A follower learned what was committed only with the next heartbeat, 40 ms later. A request gave up after three draws, though others had only taken what it drew.

Ruled out: disk syncs (a grant takes one) and the queue (empty in slow runs).

Change: a leader tells followers at once when the commit index moves; a request draws until its keeper says that nothing is left in reach; agents announce after the first load report; a limit that was never lowered follows the endpoint's room.

--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -162,9 +162,15 @@
         } else {
             progress.next = hint.max(progress.matched + 1);
         }
+        let before = self.commit;
         self.advance(effects);
         self.answer_reads(effects);
-        self.feed(from, false, effects);
+        if self.commit > before && self.role == Role::Leader {
+            // Followers apply what is committed without waiting for a heartbeat.
+            self.replicate(true, effects);
+        } else {
+            self.feed(from, false, effects);
+        }
     }
 
     /// Commits what a quorum holds, if it is of the present term.
--- a/crates/daemon/src/agent.rs
+++ b/crates/daemon/src/agent.rs
@@ -123,6 +123,10 @@
     }
 
     async fn announce_to(self, node: Node, peer: Peer) {
+        // An endpoint is announced once it's known what it serves.
+        while self.tables.load().serves.is_empty() && !self.tables.stopped() {
+            Timer::after(DELIVER).await;
+        }
         loop {
             let announce = self.announcement(node.address(), false);
             let ask = Ask::Announce(announce);
--- a/crates/daemon/src/entry/budget.rs
+++ b/crates/daemon/src/entry/budget.rs
@@ -53,6 +53,9 @@
 /// How long an unknown outcome is waited for before it's billed by what came.
 const DOUBT: Span = Span::secs(60);
 
+/// Requests like the one that waits for which tokens are drawn ahead.
+const AHEAD: u64 = 4;
+
 /// Most receipts delivered together.
 const MAX_RECEIPTS: usize = 2_048;
 
@@ -264,7 +267,7 @@
         Some(Demand {
             team,
             need: need.less(purse.free()),
-            extra: need,
+            extra: Tokens(need.0.saturating_mul(AHEAD)),
             returned: purse.returned,
         })
     }
@@ -380,15 +383,15 @@
     }
 }
 
-/// Draws the tokens that a request lacks.
-pub async fn draw(entry: &Entry, team: TeamId, need: Tokens) {
+/// Draws the tokens that a request lacks; returns whether nobody in reach has any.
+pub async fn draw(entry: &Entry, team: TeamId, need: Tokens) -> bool {
     for _ in 0..2 {
         let now = entry.context.clock.now();
         let Some((lease, keeper)) = entry.budget.current(now) else {
-            return;
+            return false;
         };
         let Some(demand) = entry.budget.demand(lease, team, need) else {
-            return;
+            return false;
         };
         let draw = Draw {
             lease,
@@ -404,7 +407,7 @@
         {
             Ok(Answer::Granted(granted)) => {
                 entry.budget.renewed(lease, sent, &granted);
-                return;
+                return granted.iter().any(|grant| grant.exhausted);
             }
             Ok(Answer::Ended) => entry.budget.ended(lease),
             Ok(_) | Err(_) => {
@@ -413,6 +416,7 @@
             }
         }
     }
+    false
 }
 
 /// Renews leases and gives back what lies idle.
--- a/crates/daemon/src/entry/drive.rs
+++ b/crates/daemon/src/entry/drive.rs
@@ -50,6 +50,9 @@
 /// Longest wait for the record of a request to be kept.
 const RECORD_WAIT: Span = Span::millis(250);
 
+/// Longest wait for tokens.
+const FUND_WAIT: Span = Span::secs(3);
+
 /// Times that a request whose record points elsewhere is looked up again.
 const MAX_JOINS: u32 = 3;
 
@@ -248,18 +251,24 @@
     let counted = job.counted.min(job.prompt);
     let amount = counted.plus(job.cap);
     trail.prompt = counted;
-    let mut lack = Lack::Short;
-    for _ in 0..3 {
-        match reserve(amount) {
+    let begun = entry.context.clock.now();
+    loop {
+        if let Ok(held) = reserve(amount) {
+            return Ok(held);
+        }
+        let exhausted = budget::draw(entry, team, amount).await;
+        let lack = match reserve(amount) {
             Ok(held) => return Ok(held),
-            Err(found) => lack = found,
+            Err(lack) => lack,
+        };
+        // Another request may have taken what came; then it's drawn again.
+        let waited = entry.context.clock.now().since(begun);
+        match lack {
+            Lack::Short if exhausted => return Err(NotRun::Budget),
+            Lack::Short if waited >= FUND_WAIT => return Err(NotRun::Budget),
+            Lack::NoLease if waited >= FUND_WAIT => return Err(NotRun::NoLease),
+            Lack::Short | Lack::NoLease => {}
         }
-        budget::draw(entry, team, amount).await;
-    }
-    match (reserve(amount), lack) {
-        (Ok(held), _) => Ok(held),
-        (Err(Lack::Short), _) => Err(NotRun::Budget),
-        (Err(Lack::NoLease), _) => Err(NotRun::NoLease),
     }
 }
 
--- a/crates/mulberryctl/src/site.rs
+++ b/crates/mulberryctl/src/site.rs
@@ -376,7 +376,11 @@
     async fn wait_ready(&self, endpoints: usize) -> Result<()> {
         let begun = Instant::now();
         while begun.elapsed() < READY_WAIT {
-            let ready = |p: &Process| p.entry.as_ref().is_some_and(|e| e.sees() >= endpoints);
+            let ready = |p: &Process| {
+                p.entry
+                    .as_ref()
+                    .is_some_and(|e| e.ready() && e.sees() >= endpoints)
+            };
             if self.entries.iter().all(ready) {
                 return Ok(());
             }
--- a/crates/routing/src/limit.rs
+++ b/crates/routing/src/limit.rs
@@ -38,8 +38,14 @@
     pub fn set_room(&mut self, room: u32) {
         let most = f64::from(room.max(1));
         if (most - self.most).abs() > f64::EPSILON {
+            // A limit that was never lowered follows the endpoint's own word.
+            let full = self.value >= self.most;
             self.most = most;
-            self.value = self.value.clamp(LEAST, most);
+            self.value = if full {
+                most
+            } else {
+                self.value.clamp(LEAST, most)
+            };
         }
     }
 
