Hold the callers' promises through failures over real sockets

Cause: thirteen tests that break a local site found five faults. A call was told "not run" for want of room while it ran through another entry. An entry that joined a call just being sent called it off and ran it itself. An engine that repeats a token was noticed only at the end, after the caller had the text. Grants went back to keepers that could not be heard. Reservations stayed at their bound until the keeper had answered, so grants ran out without keepers.

Change: before "not run", a request with a caller's key is looked up by record or by a claim read from a quorum; an absent request is looked for again before it's called off; running token counts are checked as they come; idle tokens go back only to keepers that answer; after a single attempt the reservation falls to the bill at once; five seconds of a team's demand are held ready.

"Not run" speaks of the submission that it answers: a second one sent at the same moment through another entry may run.

--- a/crates/daemon/src/agent/run.rs
+++ b/crates/daemon/src/agent/run.rs
@@ -292,8 +292,11 @@
             });
         }
         match stream.next().await? {
-            Event::Text(text) => {
+            Event::Text { text, count } => {
                 generated += 1;
+                if count.is_some_and(|count| count != generated) {
+                    return Err(EngineError::Broken("tokens were repeated".to_owned()));
+                }
                 // More than was ordered, or more than fits, is no answer of ours.
                 if generated > chat.max_tokens || !run.push(text.as_bytes()) {
                     return Err(EngineError::Broken("too long an answer".to_owned()));
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -124,6 +124,13 @@
         pool.spawn(acquire::serve_queue(self.clone()));
     }
 
+    /// Breaks off everything at once, as a lost process would.
+    pub fn kill(&self) {
+        self.server.abort();
+        self.context.health.stop();
+        self.tables.abandon();
+    }
+
     /// Returns where callers are served.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
--- a/crates/daemon/src/entry/budget.rs
+++ b/crates/daemon/src/entry/budget.rs
@@ -44,6 +44,9 @@
 /// How long a team's tokens lie idle before they are given back.
 const IDLE: Span = Span::secs(5);
 
+/// How long a keeper counts as present after an answer.
+const HEARD: Span = Span::secs(1);
+
 /// Longest wait for a keeper to answer a draw.
 const DRAW_WAIT: Span = Span::millis(900);
 
@@ -53,6 +56,12 @@
 /// How long an unknown outcome is waited for before it's billed by what came.
 const DOUBT: Span = Span::secs(60);
 
+/// Renewals for which a team's usual demand is held ready: five seconds' worth.
+const RENEWALS_AHEAD: u64 = 20;
+
+/// Part of the usual demand that one renewal moves.
+const RATE_WEIGHT: u64 = 8;
+
 /// Requests like the one that waits for which tokens are drawn ahead.
 const AHEAD: u64 = 4;
 
@@ -84,6 +93,8 @@
     wallet: Wallet,
     opened: Time,
     used: Map<TeamId, Time>,
+    rates: Map<TeamId, u64>,
+    heard: Time,
     closing: bool,
 }
 
@@ -181,8 +192,14 @@
 
     /// Owes a receipt for a request that ran; its reservation stays until the
     /// keeper has answered.
-    pub fn owe(&self, held: &Held, receipt: Receipt) {
-        lock(&self.state).owed.push((held.keeper, receipt));
+    ///
+    /// After a `single` attempt what was reserved beyond the bill is free at once.
+    pub fn owe(&self, held: &Held, receipt: Receipt, single: bool) {
+        let mut state = lock(&self.state);
+        state.owed.push((held.keeper, receipt));
+        if single && let Some(pouch) = state.pouch(held.lease) {
+            pouch.wallet.shrink(receipt.request, receipt.amount);
+        }
     }
 
     /// Keeps the reservation of a request whose outcome is unknown.
@@ -244,6 +261,7 @@
         let mut state = lock(&self.state);
         if let Some(pouch) = state.pouch(lease) {
             pouch.wallet.renewed(sent);
+            pouch.heard = sent;
             for grant in granted {
                 pouch.wallet.granted(grant.team, grant.total);
             }
@@ -326,6 +344,8 @@
             wallet: Wallet::new(lease),
             opened: now,
             used: Map::default(),
+            rates: Map::default(),
+            heard: Time(0),
             closing: false,
         });
         Some(())
@@ -342,6 +362,11 @@
         if self.pouches.last().is_some_and(old) {
             self.open(id, now);
         }
+        let current = self.pouches.last().map(|pouch| pouch.wallet.lease());
+        self.pouches.retain(|pouch| {
+            let holds = !pouch.wallet.purses().is_empty() || pouch.wallet.open() > 0;
+            holds || Some(pouch.wallet.lease()) == current
+        });
         let current = self.pouches.len().saturating_sub(1);
         for pouch in &mut self.pouches[..current] {
             if pouch.wallet.open() == 0 {
@@ -359,17 +384,22 @@
         let teams: Vec<TeamId> = self.wallet.purses().keys().copied().collect();
         for team in teams {
             let used = self.used.get(&team).copied().unwrap_or_default();
-            if self.closing || now.since(used) >= IDLE {
+            // What goes back to a keeper that can't be heard is of use to nobody.
+            let heard = now.since(self.heard) < HEARD;
+            if self.closing || (heard && now.since(used) >= IDLE) {
                 self.wallet.give_back(team, Tokens(u64::MAX));
             }
             let purse = self.wallet.purse(team);
             let asked = demand.get(&team).copied().unwrap_or_default();
             let active = !asked.is_zero() || purse.granted != purse.returned.plus(purse.used);
             if active {
+                let rate = self.rates.entry(team).or_default();
+                *rate = *rate - *rate / RATE_WEIGHT + asked.0 / RATE_WEIGHT;
+                let target = Tokens(*rate * RENEWALS_AHEAD);
                 demands.push(Demand {
                     team,
                     need: Tokens::ZERO,
-                    extra: asked.plus(asked).less(purse.free()),
+                    extra: target.less(purse.free()),
                     returned: purse.returned,
                 });
             }
--- a/crates/daemon/src/entry/drive.rs
+++ b/crates/daemon/src/entry/drive.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
+use async_io::Timer;
 use base::AgentId;
 use base::Digest;
 use base::EndpointId;
@@ -50,6 +52,12 @@
 /// Longest wait for the record of a request to be kept.
 const RECORD_WAIT: Span = Span::millis(250);
 
+/// Looks for a request that its agent doesn't know yet.
+const ABSENT_LOOKS: u32 = 5;
+
+/// Time between two such looks.
+const ABSENT_WAIT: Duration = Duration::from_millis(100);
+
 /// Longest wait for tokens.
 const FUND_WAIT: Span = Span::secs(3);
 
@@ -121,7 +129,16 @@
             }
         }
     };
-    settle(&entry, &job, &trail, &ending, end.as_ref(), &assembly);
+    let single = life.attempt() == 1;
+    settle(
+        &entry,
+        &job,
+        &trail,
+        &ending,
+        end.as_ref(),
+        &assembly,
+        single,
+    );
     let kept = !matches!(
         ending,
         Ending::Error(CallerError::NotRun(_) | CallerError::Unknown)
@@ -147,6 +164,7 @@
     ending: &Ending,
     end: Option<&Final>,
     assembly: &Assembly,
+    single: bool,
 ) {
     let Some(held) = &trail.held else {
         return;
@@ -159,7 +177,7 @@
         amount: amount.min(trail.prompt.plus(job.cap)),
     };
     match (ending, end) {
-        (_, Some(end)) => entry.budget.owe(held, receipt(end.bill())),
+        (_, Some(end)) => entry.budget.owe(held, receipt(end.bill()), single),
         (Ending::Error(CallerError::Unknown), None) => {
             // Until an agent's receipt comes, what the caller got is all that's known.
             let known = trail.prompt.plus(Tokens(assembly.tokens()));
@@ -185,7 +203,7 @@
             trail.avoid.clear();
             return after(entry, life, Failure::NeverSent);
         }
-        Err(reason) => return end_early(life, reason),
+        Err(reason) => return end_early(entry, job, trail, life, assembly, reason).await,
     };
     let begun = entry.context.clock.now();
     let verdict = at_endpoint(entry, job, trail, life, assembly, &chosen).await;
@@ -194,18 +212,67 @@
     verdict
 }
 
-/// Returns the end of a request that can't go on; proof is kept by its life.
-fn end_early(life: &mut Life, reason: NotRun) -> Verdict {
-    if life.attempt() == 1 {
-        not_run(reason)
+/// Returns the end of a request that can't go on here.
+///
+/// A request with a caller's key may run through another entry; only where that is
+/// ruled out is it told as not run.
+async fn end_early(
+    entry: &Entry,
+    job: &Job,
+    trail: &mut Trail,
+    life: &mut Life,
+    assembly: &mut Assembly,
+    reason: NotRun,
+) -> Verdict {
+    if life.failed(Failure::NeverSent, false, Time(u64::MAX)) == Next::Unknown {
+        return unknown();
+    }
+    if !job.flow.named || trail.nonce.is_some() {
+        return not_run(reason);
+    }
+    if job.repeatable {
+        match find(entry, job.flow.request).await {
+            Some(Some(record)) => join(entry, job, trail, life, assembly, &record).await,
+            Some(None) => not_run(reason),
+            None => unknown(),
+        }
     } else {
-        match life.failed(Failure::NeverSent, false, Time(u64::MAX)) {
-            Next::NotRun(_) => not_run(reason),
-            Next::Unknown | Next::Resume | Next::Retry => unknown(),
+        match find_claim(entry, job.flow.request).await {
+            Some(Some(claim)) => join_claim(entry, job, trail, life, assembly, claim).await,
+            Some(None) => not_run(reason),
+            None => unknown(),
         }
     }
 }
 
+/// Returns the record of a request, `Some(None)` where all its homes have none, or
+/// `None` where that isn't certain.
+async fn find(entry: &Entry, request: RequestId) -> Option<Option<Record>> {
+    let mut certain = true;
+    for address in record_homes(entry, request) {
+        match entry
+            .node
+            .ask(address, Ask::Find(request), RECORD_WAIT)
+            .await
+        {
+            Ok(Answer::Found(Some(record))) => return Some(Some(record)),
+            Ok(Answer::Found(None)) => {}
+            Ok(_) | Err(_) => certain = false,
+        }
+    }
+    certain.then_some(None)
+}
+
+async fn find_claim(entry: &Entry, request: RequestId) -> Option<Option<Claim>> {
+    for peer in &entry.context.keepers {
+        let ask = Ask::FindClaim(request);
+        if let Ok(Answer::Standing(claim)) = entry.node.ask(peer.address, ask, KEEPER_WAIT).await {
+            return Some(claim);
+        }
+    }
+    None
+}
+
 fn after(entry: &Entry, life: &mut Life, failure: Failure) -> Verdict {
     let budget = entry.tables.endpoints().retries.retry();
     let now = entry.context.clock.now();
@@ -226,7 +293,7 @@
 ) -> Verdict {
     let held = match fund(entry, job, trail).await {
         Ok(held) => held,
-        Err(reason) => return end_early(life, reason),
+        Err(reason) => return end_early(entry, job, trail, life, assembly, reason).await,
     };
     trail.held = Some(held);
     if job.repeatable {
@@ -423,7 +490,15 @@
         offset: assembly.bytes().len() as u64,
     };
     assembly.expect(life.attempt());
-    let end = stream::follow(entry, job, address, open, assembly).await;
+    let mut end = stream::follow(entry, job, address, open.clone(), assembly).await;
+    for _ in 0..ABSENT_LOOKS {
+        if !matches!(end, StreamEnd::Refused(Refusal::Absent)) {
+            return end;
+        }
+        // Whoever recorded it may just be sending it.
+        Timer::after(ABSENT_WAIT).await;
+        end = stream::follow(entry, job, address, open.clone(), assembly).await;
+    }
     if !matches!(end, StreamEnd::Refused(Refusal::Absent)) {
         return end;
     }
@@ -468,7 +543,12 @@
             life.sent();
         }
         let now = entry.context.clock.now();
-        if !matches!(failure, Failure::Refused(Refusal::Full | Refusal::Leaving)) {
+        if failure == Failure::Refused(Refusal::Tombstone) && trail.joins < MAX_JOINS {
+            // Another entry took the request over; it's found by its record or claim.
+            trail.joins += 1;
+            return Verdict::Again;
+        }
+        if !matches!(failure, Failure::Refused(_)) || failure == Failure::Refused(Refusal::Down) {
             entry.tables.endpoints().table.failed(chosen.slot, now);
         }
         let budget = entry.tables.endpoints().retries.retry();
--- a/crates/daemon/src/entry/tables.rs
+++ b/crates/daemon/src/entry/tables.rs
@@ -19,6 +19,7 @@
 use base::Span;
 use base::TeamId;
 use base::Time;
+use caller::CallerError;
 use config::Document;
 use config::document::Priority;
 use routing::Announce;
@@ -31,6 +32,7 @@
 use routing::Table;
 use routing::Wish;
 
+use super::flow::Ending;
 use super::flow::Flow;
 
 /// Finished answers that are kept for callers that ask again.
@@ -187,6 +189,14 @@
         }
     }
 
+    /// Gives up all answers under way, as a lost process would.
+    pub fn abandon(&self) {
+        let flows: Vec<Arc<Flow>> = lock(&self.flows).open.values().cloned().collect();
+        for flow in flows {
+            flow.end(Ending::Error(CallerError::Unknown));
+        }
+    }
+
     /// Returns the number of answers under way.
     #[must_use]
     pub fn open(&self) -> usize {
--- a/crates/daemon/src/keeper/core.rs
+++ b/crates/daemon/src/keeper/core.rs
@@ -12,6 +12,7 @@
 use base::KeeperId;
 use base::LeaseId;
 use base::Map;
+use base::RequestId;
 use base::Span;
 use base::TeamId;
 use base::Time;
@@ -143,6 +144,8 @@
     registry: Registry,
     records: Records,
     waiting: BTreeMap<u64, (u64, Waiting)>,
+    reads: BTreeMap<u64, (RequestId, Reply)>,
+    ticket: u64,
     waiters: Vec<Waiter>,
     holders: Map<LeaseId, SocketAddr>,
     demand: Map<TeamId, Tokens>,
@@ -165,6 +168,8 @@
 enum Ready {
     Install(consensus::Snapshot),
     Apply(Entry),
+    /// Follows all entries up to the index that the read needs.
+    Read(u64),
 }
 
 /// What a core starts with.
@@ -211,6 +216,8 @@
             registry: Registry::default(),
             records: Records::default(),
             waiting: BTreeMap::new(),
+            reads: BTreeMap::new(),
+            ticket: 0,
             waiters: Vec::new(),
             holders: Map::default(),
             demand: Map::default(),
@@ -284,6 +291,12 @@
             match item {
                 Ready::Install(snapshot) => self.install(&snapshot),
                 Ready::Apply(entry) => self.apply(&entry),
+                Ready::Read(ticket) => {
+                    if let Some((request, reply)) = self.reads.remove(&ticket) {
+                        let claim = self.site.claims.get(request);
+                        self.out.push(Output::Reply(reply, Answer::Standing(claim)));
+                    }
+                }
             }
         }
         if any {
@@ -390,6 +403,13 @@
         self.ready.extend(effects.install.map(Ready::Install));
         let applied = effects.applied.into_iter().map(Ready::Apply);
         self.ready.extend(applied);
+        let reads = effects.reads.into_iter().map(|(ticket, _)| ticket);
+        self.ready.extend(reads.map(Ready::Read));
+        for ticket in effects.failed {
+            if let Some((_, reply)) = self.reads.remove(&ticket) {
+                self.out.push(Output::Reply(reply, Answer::Unavailable));
+            }
+        }
         if self.replica.role() != Role::Leader && !self.waiting.is_empty() {
             // Whether these commit is for another leader to decide.
             for (_, (_, waiting)) in std::mem::take(&mut self.waiting) {
@@ -493,6 +513,7 @@
             Ask::Free(claim) => {
                 self.propose(&Change::Free(claim), Waiting::Free(reply), Ask::Free(claim));
             }
+            Ask::FindClaim(request) => self.on_find_claim(request, reply),
             Ask::Propose(data) => self.on_propose(&data, reply),
             Ask::Submit(document, operator) => self.on_submit(&document, operator, reply),
             Ask::TopUp(topup) => self.on_top_up(topup, reply),
@@ -515,6 +536,18 @@
         }
     }
 
+    /// Reads a claim once a quorum has confirmed that this keeper still leads.
+    fn on_find_claim(&mut self, request: RequestId, reply: Reply) {
+        if self.replica.role() != Role::Leader {
+            self.forward(Ask::FindClaim(request), Waiting::Plain(reply));
+            return;
+        }
+        self.ticket += 1;
+        self.reads.insert(self.ticket, (request, reply));
+        let effects = self.replica.read(self.ticket);
+        self.absorb(effects);
+    }
+
     fn on_propose(&mut self, data: &[u8], reply: Reply) {
         match postcard::from_bytes::<Change>(data) {
             Ok(change) if self.replica.role() == Role::Leader => {
--- a/crates/engine/src/chat.rs
+++ b/crates/engine/src/chat.rs
@@ -42,7 +42,12 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Event {
     /// More text; one event for each token.
-    Text(String),
+    Text {
+        /// The text.
+        text: String,
+        /// Tokens generated so far, where the engine says so.
+        count: Option<u64>,
+    },
     /// The answer's end.
     End {
         /// Whether the cap was reached.
@@ -145,7 +150,8 @@
                 });
             }
             if let Some(text) = choice.delta.content.filter(|text| !text.is_empty()) {
-                return Ok(Event::Text(text));
+                let count = chunk.usage.map(|usage| usage.completion_tokens);
+                return Ok(Event::Text { text, count });
             }
         }
     }
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -185,6 +185,8 @@
     Unenrol(RequestId, u64),
     /// An entry claims a call that may run once.
     Claim(Claim),
+    /// An entry asks which claim of a call stands.
+    FindClaim(RequestId),
     /// An entry proved that a claimed call has not run.
     Free(Claim),
     /// A keeper asks an agent to bar a lease and to say whether it's clear.
@@ -239,6 +241,8 @@
     Found(Option<Record>),
     /// The answer to a claim.
     Claimed(Claimed),
+    /// The claim that stands, as a quorum has it.
+    Standing(Option<Claim>),
     /// Whether the lease is clear, and by whom.
     Vouched(AgentId, bool),
     /// The total that was given back under the lease.
--- a/crates/ledger/src/wallet.rs
+++ b/crates/ledger/src/wallet.rs
@@ -154,6 +154,19 @@
         }
     }
 
+    /// Lowers a reservation to what the request will be billed.
+    ///
+    /// Only for a request with a single attempt: each receipt of it then names the
+    /// same amount.
+    pub fn shrink(&mut self, request: RequestId, amount: Tokens) {
+        if let Some((team, reserved)) = self.open.get_mut(&request) {
+            let excess = reserved.less(amount);
+            *reserved = reserved.less(excess);
+            let purse = self.purses.entry(*team).or_default();
+            purse.reserved = purse.reserved.less(excess);
+        }
+    }
+
     /// Closes the reservation of a request that did not run.
     pub fn release(&mut self, request: RequestId) {
         self.settle(request, Tokens::ZERO);
--- a/crates/mulberryctl/src/command.rs
+++ b/crates/mulberryctl/src/command.rs
@@ -1,34 +1,334 @@
 //! The subcommands and their options.
 
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
 use std::process::ExitCode;
+use std::str::FromStr;
+use std::time::Duration;
 
 use eyre::Result;
+use eyre::bail;
+use eyre::eyre;
 use futures_lite::future;
 use getopts::Matches;
 use getopts::Options;
 use platform::Pool;
+use standin::Desk;
+use standin::Engine;
+use standin::Faults;
+use standin::Pace;
 
+use crate::bench;
 use crate::demo;
+use crate::init;
+use crate::init::Plan;
+use crate::operate;
+use crate::operate::Operator;
 
 /// A subcommand.
 struct Command {
     name: &'static str,
+    words: &'static str,
     help: &'static str,
     options: fn(&mut Options),
     run: fn(&Matches) -> Result<()>,
 }
 
-const COMMANDS: &[Command] = &[Command {
-    name: "demo",
-    help: "run a small site in this process, with traffic and a summary",
-    options: |options| {
-        options.optflag("", "serve", "keep the site up and print its addresses");
+const COMMANDS: &[Command] = &[
+    Command {
+        name: "demo",
+        words: "",
+        help: "run a small site in this process, with traffic and a summary",
+        options: |options| {
+            options.optflag("", "serve", "keep the site up and print its addresses");
+        },
+        run: |matches| {
+            let pool = Pool::start(threads());
+            future::block_on(demo::run(&pool, matches.opt_present("serve")))
+        },
     },
-    run: |matches| {
-        let pool = Pool::start(threads());
-        future::block_on(demo::run(&pool, matches.opt_present("serve")))
+    Command {
+        name: "init",
+        words: "DIR",
+        help: "write the files of a site of several processes and print its commands",
+        options: |options| {
+            options.optopt("", "domains", "failure domains (3)", "N");
+            options.optopt("", "engines", "model engines (6)", "N");
+            options.optopt("", "desks", "plain services (2)", "N");
+            options.optopt("", "teams", "teams (10)", "N");
+            options.optopt("", "port", "the first port (7100)", "PORT");
+        },
+        run: |matches| {
+            let plan = Plan {
+                domains: number(matches, "domains", 3)?,
+                engines: number(matches, "engines", 6)?,
+                desks: number(matches, "desks", 2)?,
+                teams: number(matches, "teams", 10)?,
+                port: number(matches, "port", 7100)?,
+            };
+            print!("{}", init::init(Path::new(word(matches, 0)?), &plan)?);
+            Ok(())
+        },
     },
-}];
+    Command {
+        name: "keys",
+        words: "DIR NAME",
+        help: "make the authority in DIR where there is none, and keys for NAME",
+        options: |_| {},
+        run: |matches| {
+            let folder = Path::new(word(matches, 0)?);
+            fs::create_dir_all(folder)?;
+            if !folder.join("authority.pem").exists() {
+                fleet::keys::make_authority(folder)?;
+            }
+            Ok(fleet::keys::make_process(folder, word(matches, 1)?)?)
+        },
+    },
+    Command {
+        name: "check",
+        words: "FILE",
+        help: "name every fault of a document, or print it in its canonical form",
+        options: |options| {
+            options.optflag("", "print", "print the canonical form");
+        },
+        run: |matches| {
+            let document = operate::read_document(Path::new(word(matches, 0)?))?;
+            if matches.opt_present("print") {
+                print!("{}", config::write::write(&document));
+            } else {
+                println!(
+                    "no faults; digest {}",
+                    config::write::digest(&document).hex()
+                );
+            }
+            Ok(())
+        },
+    },
+    Command {
+        name: "submit",
+        words: "FILE",
+        help: "submit a document",
+        options: site_options,
+        run: |matches| {
+            let path = PathBuf::from(word(matches, 0)?);
+            operate_on(matches, async |operator| operator.submit(&path).await)
+        },
+    },
+    Command {
+        name: "top-up",
+        words: "ID TEAM TOKENS",
+        help: "top a budget up; ID is ledger/NAME or KEEPER/NAME",
+        options: site_options,
+        run: |matches| {
+            let id = word(matches, 0)?.to_owned();
+            let team = word(matches, 1)?.to_owned();
+            let amount = parse(word(matches, 2)?, "TOKENS")?;
+            operate_on(matches, async |o| o.top_up(&id, &team, amount).await)
+        },
+    },
+    Command {
+        name: "status",
+        words: "",
+        help: "print what each keeper sees: balances, endpoints, documents in force",
+        options: site_options,
+        run: |matches| {
+            operate_on(matches, async |operator| {
+                operate::print_views(&operator.views().await);
+                Ok(())
+            })
+        },
+    },
+    Command {
+        name: "document",
+        words: "",
+        help: "print the document in force",
+        options: site_options,
+        run: |matches| {
+            operate_on(matches, async |operator| {
+                print!("{}", config::write::write(&operator.document().await?));
+                Ok(())
+            })
+        },
+    },
+    Command {
+        name: "diff",
+        words: "FILE",
+        help: "print what a document would change",
+        options: site_options,
+        run: |matches| {
+            let path = PathBuf::from(word(matches, 0)?);
+            operate_on(matches, async |operator| {
+                let old = operator.document().await?;
+                let new = operate::read_document(&path)?;
+                for line in config::Patch::between(&old, &new).lines() {
+                    println!("{line}");
+                }
+                Ok(())
+            })
+        },
+    },
+    Command {
+        name: "release",
+        words: "LEASE",
+        help: "free what is held back for a lease; see status",
+        options: site_options,
+        run: |matches| {
+            let lease = word(matches, 0)?.to_owned();
+            operate_on(matches, async |operator| operator.release(&lease).await)
+        },
+    },
+    Command {
+        name: "expel",
+        words: "NUMBER",
+        help: "remove a keeper from the group",
+        options: site_options,
+        run: |matches| {
+            let number = parse(word(matches, 0)?, "NUMBER")?;
+            operate_on(matches, async |operator| operator.expel(number).await)
+        },
+    },
+    Command {
+        name: "stand-in",
+        words: "engine|service",
+        help: "run one stand-in alone, with its faults as options",
+        options: stand_in_options,
+        run: stand_in,
+    },
+    Command {
+        name: "store",
+        words: "verify|dump DIR",
+        help: "check a keeper's data folder, or print its records",
+        options: |_| {},
+        run: |matches| {
+            let folder = Path::new(word(matches, 1)?);
+            match word(matches, 0)? {
+                "verify" => crate::store_tool::verify(folder),
+                "dump" => crate::store_tool::dump(folder),
+                other => bail!("there is no 'store {other}'"),
+            }
+        },
+    },
+    Command {
+        name: "bench",
+        words: "path|budget|keeper|routing|decide|config",
+        help: "run an experiment and print JSON",
+        options: |options| {
+            options.optopt("", "seconds", "length of a load", "S");
+            options.optopt("", "streams", "streams at once", "N");
+            options.optopt("", "seed", "the seed", "N");
+        },
+        run: |matches| {
+            let plan = bench::Plan {
+                seconds: number(matches, "seconds", 10)?,
+                streams: number(matches, "streams", 1_200)?,
+                seed: number(matches, "seed", 1)?,
+            };
+            bench::run(word(matches, 0)?, &plan)
+        },
+    },
+];
+
+fn site_options(options: &mut Options) {
+    let help = "settings of any process of the site (keeper-0.yaml)";
+    options.optopt("", "site", help, "FILE");
+    options.optopt("", "as", "the operator's key (operator)", "NAME");
+}
+
+fn operate_on(matches: &Matches, act: impl AsyncFnOnce(&Operator) -> Result<()>) -> Result<()> {
+    let pool = Pool::start(1);
+    let site = matches.opt_str("site");
+    let site = PathBuf::from(site.unwrap_or_else(|| "keeper-0.yaml".to_owned()));
+    let name = matches.opt_str("as");
+    let name = name.unwrap_or_else(|| "operator".to_owned());
+    let operator = Operator::open(&pool, &site, &name)?;
+    future::block_on(act(&operator))
+}
+
+fn stand_in_options(options: &mut Options) {
+    options.optopt("", "listen", "where to serve (127.0.0.1:9000)", "ADDRESS");
+    options.optopt(
+        "",
+        "serves",
+        "models, or the service's name (assistant)",
+        "NAMES",
+    );
+    options.optopt("", "room", "requests together (32)", "N");
+    options.optopt("", "step-us", "time between tokens (4000)", "US");
+    options.optopt("", "stall-after", "stall after this many tokens", "N");
+    options.optopt("", "close-after", "close after this many tokens", "N");
+    options.optopt(
+        "",
+        "cross-after",
+        "answer as another request after so many",
+        "N",
+    );
+    options.optopt("", "repeat-at", "send this token twice", "N");
+    options.optopt("", "one-in", "faults in one of so many requests (1)", "N");
+    options.optflag("", "ignore-cancel", "go on when told to cancel");
+    options.optflag(
+        "",
+        "checks-fence",
+        "refuse orders with an old fencing number",
+    );
+}
+
+fn stand_in(matches: &Matches) -> Result<()> {
+    let pool = Pool::start(2);
+    let listen: SocketAddr = number(matches, "listen", ([127, 0, 0, 1], 9000).into())?;
+    let serves = matches.opt_str("serves");
+    let serves = serves.unwrap_or_else(|| crate::site::MODEL.to_owned());
+    let faults = Faults {
+        stall_after: optional(matches, "stall-after")?,
+        close_after: optional(matches, "close-after")?,
+        cross_after: optional(matches, "cross-after")?,
+        repeat_at: optional(matches, "repeat-at")?,
+        ignore_cancel: matches.opt_present("ignore-cancel"),
+        one_in: number(matches, "one-in", 1)?,
+        checks_fence: matches.opt_present("checks-fence"),
+    };
+    let pace = Pace {
+        room: number(matches, "room", 32)?,
+        step: Duration::from_micros(number(matches, "step-us", 4_000)?),
+        ..Pace::default()
+    };
+    let stops = platform::signals::stops()?;
+    match word(matches, 0)? {
+        "engine" => {
+            let models: Vec<&str> = serves.split(',').collect();
+            let engine = Engine::spawn(&pool, listen, &models, pace, faults)?;
+            println!("engine at {}", engine.address());
+            let _ = stops.recv_blocking();
+        }
+        "service" => {
+            let desk = Desk::spawn(&pool, listen, &serves, Duration::from_millis(5))?;
+            println!("service at {}", desk.address());
+            let _ = stops.recv_blocking();
+        }
+        other => bail!("there is no stand-in '{other}'"),
+    }
+    Ok(())
+}
+
+fn word(matches: &Matches, place: usize) -> Result<&str> {
+    let word = matches.free.get(place).map(String::as_str);
+    word.ok_or_else(|| eyre!("a word is missing; see --help"))
+}
+
+fn parse<T: FromStr>(text: &str, field: &str) -> Result<T> {
+    text.parse()
+        .map_err(|_| eyre!("{field}: '{text}' can't be read"))
+}
+
+fn optional<T: FromStr>(matches: &Matches, field: &str) -> Result<Option<T>> {
+    let text = matches.opt_str(field);
+    text.map(|text| parse(&text, field)).transpose()
+}
+
+fn number<T: FromStr>(matches: &Matches, field: &str, default: T) -> Result<T> {
+    Ok(optional(matches, field)?.unwrap_or(default))
+}
 
 /// Returns the workers for a command that runs a whole site.
 #[must_use]
@@ -69,10 +369,15 @@
         eprintln!("mulberryctl: there is no command '{name}'\n{}", usage());
         return ExitCode::from(2);
     };
+    run_command(command, &args[1..])
+}
+
+fn run_command(command: &Command, args: &[String]) -> ExitCode {
+    let name = command.name;
     let mut options = Options::new();
     options.optflag("h", "help", "print this help");
     (command.options)(&mut options);
-    let matches = match options.parse(&args[1..]) {
+    let matches = match options.parse(args) {
         Ok(matches) => matches,
         Err(error) => {
             eprintln!("mulberryctl {name}: {error}");
@@ -80,7 +385,11 @@
         }
     };
     if matches.opt_present("help") {
-        let brief = format!("Usage: mulberryctl {name} [options]\n\n{}", command.help);
+        let words = command.words;
+        let brief = format!(
+            "Usage: mulberryctl {name} [options] {words}\n\n{}",
+            command.help
+        );
         println!("{}", options.usage(&brief));
         return ExitCode::SUCCESS;
     }
--- a/crates/mulberryctl/src/lib.rs
+++ b/crates/mulberryctl/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`init`]: the files of a site of several processes.
 //! - [`operate`]: commands of operators.
 //! - [`site`]: a site on loopback with stand-ins.
+//! - [`store_tool`]: checks and dumps of a data folder.
 
 pub mod bench;
 pub mod client;
@@ -15,3 +16,4 @@
 pub mod init;
 pub mod operate;
 pub mod site;
+pub mod store_tool;
--- a/crates/mulberryctl/src/operate.rs
+++ b/crates/mulberryctl/src/operate.rs
@@ -1,1 +1,260 @@
 //! Commands of operators.
+
+use std::fs;
+use std::path::Path;
+
+use base::LeaseId;
+use base::Span;
+use base::TeamId;
+use base::Tokens;
+use config::Document;
+use daemon::Settings;
+use eyre::Result;
+use eyre::bail;
+use eyre::eyre;
+use fleet::Answer;
+use fleet::Ask;
+use fleet::Node;
+use fleet::wire::Credit;
+use fleet::wire::News;
+use fleet::wire::Status;
+use fleet::wire::Verdict;
+use ledger::TopUp;
+use platform::Pool;
+
+use crate::site::operator_node;
+
+/// Longest wait for a keeper's answer.
+const WAIT: Span = Span::secs(5);
+
+/// An operator's connection to a site.
+pub struct Operator {
+    node: Node,
+    settings: Settings,
+    name: String,
+}
+
+impl Operator {
+    /// Connects with the operator's key that lies beside those of `site`, the
+    /// settings of any process of the site.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the settings or keys can't be used.
+    pub fn open(pool: &Pool, site: &Path, name: &str) -> Result<Self> {
+        let settings = Settings::open(site)?;
+        let node = operator_node(pool, &settings.keys, name)?;
+        Ok(Self {
+            node,
+            settings,
+            name: name.to_owned(),
+        })
+    }
+
+    /// Asks the keepers in turn until one has an answer.
+    async fn ask(&self, ask: &Ask) -> Result<Answer> {
+        let mut last = None;
+        for peer in &self.settings.keepers {
+            match self.node.ask(peer.address, ask.clone(), WAIT).await {
+                Ok(Answer::Unavailable) => last = Some(eyre!("{} has no quorum", peer.number)),
+                Ok(answer) => return Ok(answer),
+                Err(error) => last = Some(eyre!("{}: {error}", peer.number)),
+            }
+        }
+        Err(last.unwrap_or_else(|| eyre!("no keeper is known")))
+    }
+
+    /// Submits a document; prints what came of it.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the document is rejected or no keeper answers.
+    pub async fn submit(&self, path: &Path) -> Result<()> {
+        let document = read_document(path)?;
+        let ask = Ask::Submit(Box::new(document), self.name.clone());
+        match self.ask(&ask).await? {
+            Answer::Verdict(Verdict::Accepted(accepted)) => {
+                println!("accepted as number {}", accepted.number);
+                Ok(())
+            }
+            Answer::Verdict(Verdict::Lost(other)) => bail!(
+                "number {} was taken by {} with document {}",
+                other.number,
+                other.operator,
+                other.digest.hex()
+            ),
+            Answer::Verdict(Verdict::Stale(current)) => {
+                bail!("number {current} is in force; follow it")
+            }
+            Answer::Verdict(Verdict::Faulty(faults)) => {
+                for fault in &faults {
+                    eprintln!("  {fault}");
+                }
+                bail!("rejected with {} faults", faults.len())
+            }
+            other => bail!("the outcome is unknown, submit the same document again: {other:?}"),
+        }
+    }
+
+    /// Tops a budget up; prints what came of it.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the top-up is refused or its outcome is unknown.
+    pub async fn top_up(&self, id: &str, team: &str, amount: u64) -> Result<()> {
+        let topup = TopUp {
+            id: id.parse()?,
+            team: TeamId::named(team),
+            amount: Tokens(amount),
+        };
+        match self.ask(&Ask::TopUp(topup)).await? {
+            Answer::Credit(Credit::Replicated) => println!("credited by a majority"),
+            Answer::Credit(Credit::Local) => println!("credited by its home keeper"),
+            Answer::Credit(Credit::Repeated) => println!("credited before"),
+            Answer::Credit(Credit::Refused(reason)) => bail!("refused: {reason}"),
+            other => bail!("the outcome is unknown, send the same top-up again: {other:?}"),
+        }
+        Ok(())
+    }
+
+    /// Returns the views of all keepers that answer.
+    pub async fn views(&self) -> Vec<(String, Option<Status>)> {
+        let mut views = Vec::new();
+        for peer in &self.settings.keepers {
+            let answer = self.node.ask(peer.address, Ask::Status, WAIT).await;
+            let status = match answer {
+                Ok(Answer::Status(status)) => Some(*status),
+                Ok(_) | Err(_) => None,
+            };
+            views.push((peer.number.to_string(), status));
+        }
+        views
+    }
+
+    /// Returns the document in force, as the first keeper that answers has it.
+    ///
+    /// # Errors
+    ///
+    /// Fails where no keeper answers or none has a document.
+    pub async fn document(&self) -> Result<Document> {
+        match self.ask(&Ask::Document(0)).await? {
+            Answer::News(_, News::Whole(document)) => Ok(*document),
+            Answer::News(..) => bail!("no document is in force"),
+            other => bail!("unexpected answer {other:?}"),
+        }
+    }
+
+    /// Frees what is held back for a lease, as `ENTRY.EPOCH` from `status`.
+    ///
+    /// # Errors
+    ///
+    /// Fails where no keeper releases the lease.
+    pub async fn release(&self, lease: &str) -> Result<()> {
+        let lease = parse_lease(lease)?;
+        for peer in &self.settings.keepers {
+            let ask = Ask::Release(lease);
+            match self.node.ask(peer.address, ask, WAIT).await {
+                Ok(Answer::Done) => {
+                    println!("{} has released the lease", peer.number);
+                    return Ok(());
+                }
+                Ok(Answer::Refused(reason)) => println!("{}: {reason}", peer.number),
+                Ok(_) | Err(_) => println!("{} does not answer", peer.number),
+            }
+        }
+        bail!("no keeper released the lease")
+    }
+
+    /// Removes a keeper from the group.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the group doesn't agree.
+    pub async fn expel(&self, number: u32) -> Result<()> {
+        match self.ask(&Ask::Expel(number)).await? {
+            Answer::Done => {
+                println!("keeper {number} is removed");
+                Ok(())
+            }
+            Answer::Refused(reason) => bail!("refused: {reason}"),
+            other => bail!("the outcome is unknown: {other:?}"),
+        }
+    }
+}
+
+fn parse_lease(text: &str) -> Result<LeaseId> {
+    let (entry, epoch) = text
+        .split_once('.')
+        .ok_or_else(|| eyre!("a lease is written ENTRY.EPOCH"))?;
+    Ok(LeaseId {
+        entry: base::EntryId(u64::from_str_radix(entry, 16)?),
+        epoch: u64::from_str_radix(epoch, 16)?,
+    })
+}
+
+/// Reads and checks a document.
+///
+/// # Errors
+///
+/// Fails where the file can't be read, or with every fault in it.
+pub fn read_document(path: &Path) -> Result<Document> {
+    let text = fs::read_to_string(path)?;
+    config::read::read(&text).map_err(|faults| {
+        let lines: Vec<String> = faults.iter().map(|fault| format!("\n  {fault}")).collect();
+        eyre!("{} faults:{}", faults.len(), lines.concat())
+    })
+}
+
+/// Prints the views of all keepers.
+pub fn print_views(views: &[(String, Option<Status>)]) {
+    for (name, view) in views {
+        let Some(status) = view else {
+            println!("{name}: does not answer");
+            continue;
+        };
+        let role = if status.leads { "leads" } else { "follows" };
+        println!(
+            "{name} in {}: {role} term {}, applied {}, document {}, {} endpoints, {} faults",
+            status.domain,
+            status.term,
+            status.applied,
+            status.document,
+            status.endpoints.len(),
+            status.faults
+        );
+    }
+    let best = views
+        .iter()
+        .filter_map(|(_, view)| view.as_ref())
+        .max_by_key(|status| status.applied);
+    let Some(status) = best else { return };
+    println!("\nteam                 credits       free       held    settled");
+    for balance in &status.balances {
+        println!(
+            "{:<16} {:>11} {:>10} {:>10} {:>10}",
+            balance.team, balance.credits.0, balance.free.0, balance.held.0, balance.settled.0
+        );
+    }
+    println!("\nendpoint             serves              busy/room  document");
+    for endpoint in &status.endpoints {
+        let leaving = if endpoint.leaving { "  leaving" } else { "" };
+        println!(
+            "{:<20} {:<20} {:>3}/{:<3}   {}{leaving}",
+            endpoint.name,
+            endpoint.serves.join(","),
+            endpoint.busy,
+            endpoint.room,
+            endpoint.document
+        );
+    }
+    for (entry, document) in &status.entries {
+        println!("entry {entry}: document {document}");
+    }
+    for (lease, amount) in views
+        .iter()
+        .filter_map(|(_, v)| v.as_ref())
+        .flat_map(|s| &s.held)
+    {
+        println!("held back: lease {lease}, {amount} tokens");
+    }
+}
--- /dev/null
+++ b/crates/mulberryctl/src/store_tool.rs
@@ -0,0 +1,78 @@
+//! Checks and dumps of a keeper's data folder.
+
+use std::path::Path;
+
+use consensus::Payload;
+use consensus::Write;
+use daemon::keeper::site::Change;
+use eyre::Result;
+use eyre::ensure;
+use ledger::Event;
+use store::Journal;
+use store::Options;
+use store::verify::check;
+
+const JOURNALS: [&str; 2] = ["log", "share"];
+
+/// Checks both journals and prints every fault.
+///
+/// # Errors
+///
+/// Fails where a journal has a fault.
+pub fn verify(folder: &Path) -> Result<()> {
+    let mut faults = 0;
+    for name in JOURNALS {
+        let report = check(&folder.join(name))?;
+        println!(
+            "{name}: {} records, {} bytes, {} torn, checkpoint {}",
+            report.records, report.bytes, report.torn, report.checkpoint
+        );
+        for fault in &report.faults {
+            println!("  {fault}");
+        }
+        faults += report.faults.len();
+    }
+    ensure!(faults == 0, "{faults} faults");
+    Ok(())
+}
+
+/// Prints the records of both journals; the keeper must not run.
+///
+/// # Errors
+///
+/// Fails where a journal can't be read.
+pub fn dump(folder: &Path) -> Result<()> {
+    let _lock = store::Folder::open(folder, 1)?;
+    for name in JOURNALS {
+        let (_, recovered) = Journal::open(&folder.join(name), Options::default())?;
+        let length = recovered.checkpoint.map_or(0, |bytes| bytes.len());
+        println!("{name}: checkpoint of {length} bytes");
+        for bytes in &recovered.records {
+            if name == "log" {
+                print_write(&postcard::from_bytes(bytes)?);
+            } else {
+                println!("{:?}", postcard::from_bytes::<Event>(bytes)?);
+            }
+        }
+    }
+    Ok(())
+}
+
+fn print_write(write: &Write) {
+    let Write::Append(entry) = write else {
+        println!("{write:?}");
+        return;
+    };
+    let position = entry.position;
+    match &entry.payload {
+        Payload::Data(data) => match postcard::from_bytes::<Change>(data) {
+            Ok(Change::Ledger(command)) => {
+                let text = ledger::text::write(&command);
+                println!("{} {} {text}", position.term, position.index);
+            }
+            Ok(change) => println!("{} {} {change:?}", position.term, position.index),
+            Err(error) => println!("{} {} unreadable: {error}", position.term, position.index),
+        },
+        other => println!("{} {} {other:?}", position.term, position.index),
+    }
+}
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use async_channel::Receiver;
+use async_channel::Sender;
 use async_io::Timer;
 use async_net::TcpListener;
 use async_net::TcpStream;
@@ -62,6 +63,7 @@
     address: SocketAddr,
     open: Arc<AtomicUsize>,
     closed: Arc<AtomicBool>,
+    aborted: (Sender<()>, Receiver<()>),
 }
 
 impl Server {
@@ -77,6 +79,7 @@
             address: listener.local_addr()?,
             open: Arc::default(),
             closed: Arc::default(),
+            aborted: async_channel::bounded(1),
         };
         let listener = TcpListener::from(async_io::Async::new(listener)?);
         pool.spawn(accept(pool.clone(), listener, server.clone(), handler));
@@ -95,6 +98,12 @@
         self.open.load(Ordering::Relaxed)
     }
 
+    /// Breaks all connections off and takes no new ones.
+    pub fn abort(&self) {
+        self.close();
+        self.aborted.0.close();
+    }
+
     /// Takes no new connections; open ones go on.
     pub fn close(&self) {
         self.closed.store(true, Ordering::Relaxed);
@@ -130,10 +139,16 @@
         let handler = Arc::clone(&handler);
         async move { Ok(handler(request).await) }
     };
-    let done = async_h1::accept(stream, answer).await;
-    if let Err(error) = done {
-        log::debug!("http: a connection ended: {error}");
-    }
+    let answering = async {
+        if let Err(error) = async_h1::accept(stream, answer).await {
+            log::debug!("http: a connection ended: {error}");
+        }
+    };
+    let aborted = async {
+        // The channel carries nothing; it's closed to abort.
+        let _ = server.aborted.1.recv().await;
+    };
+    answering.or(aborted).await;
     server.open.fetch_sub(1, Ordering::Relaxed);
 }
 
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -370,12 +370,9 @@
             return;
         }
         inner.state().counts.tokens += 1;
-        let text = event(
-            id,
-            &json!({ "content": word(&prompt, place) }),
-            None,
-            &Value::Null,
-        );
+        let delta = json!({ "content": word(&prompt, place) });
+        let usage = json!({ "prompt_tokens": words, "completion_tokens": done + 1 });
+        let text = event(id, &delta, None, &usage);
         if faults.repeat_at == Some(done) && out.send(text.clone()).await.is_err() {
             return;
         }
