--- a/crates/consensus/tests/fuzz.rs
+++ b/crates/consensus/tests/fuzz.rs
@@ -377,6 +377,7 @@
     QuickCheck::new()
         .rng(rng)
         .tests(histories)
+        .max_tests(histories)
         .quickcheck(history_holds as fn(Vec<Step>) -> bool);
 }
 
--- a/crates/daemon/src/agent/tables.rs
+++ b/crates/daemon/src/agent/tables.rs
@@ -56,7 +56,7 @@
     pub fn new(id: AgentId) -> Self {
         Self {
             id,
-            gate: Mutex::new(Gate::new(FIRST_ROOM)),
+            gate: Mutex::new(Gate::new(id, FIRST_ROOM)),
             runs: Mutex::default(),
             owed: Mutex::default(),
             load: Mutex::default(),
--- a/crates/daemon/src/entry/budget.rs
+++ b/crates/daemon/src/entry/budget.rs
@@ -290,6 +290,11 @@
         })
     }
 
+    fn fresh(&self, lease: LeaseId) -> bool {
+        let mut state = lock(&self.state);
+        state.pouch(lease).is_some_and(|pouch| pouch.wallet.fresh())
+    }
+
     fn owed(&self, keeper: KeeperId) -> Vec<Receipt> {
         let state = lock(&self.state);
         let own = state.owed.iter().filter(|(to, _)| *to == keeper);
@@ -408,6 +413,7 @@
             lease: self.wallet.lease(),
             address: SocketAddr::from(([0, 0, 0, 0], 0)),
             demands,
+            fresh: self.wallet.fresh(),
             close: self.closing,
         }
     }
@@ -427,6 +433,7 @@
             lease,
             address: entry.node.address(),
             demands: vec![demand],
+            fresh: entry.budget.fresh(lease),
             close: false,
         };
         let sent = entry.context.clock.now();
--- a/crates/daemon/src/entry/drive.rs
+++ b/crates/daemon/src/entry/drive.rs
@@ -339,7 +339,14 @@
     }
 }
 
-fn order(entry: &Entry, job: &Job, trail: &Trail, life: &Life, assembly: &Assembly) -> Order {
+fn order(
+    entry: &Entry,
+    job: &Job,
+    trail: &Trail,
+    life: &Life,
+    assembly: &Assembly,
+    agent: AgentId,
+) -> Order {
     let now = entry.context.clock.now();
     let held = trail.held;
     let mut work = job.work.clone();
@@ -354,6 +361,7 @@
         |held| held.lease,
     );
     Order {
+        agent,
         request: job.flow.request,
         attempt: life.attempt(),
         digest: job.flow.digest,
@@ -519,7 +527,7 @@
     assembly: &mut Assembly,
     chosen: &Chosen,
 ) -> Verdict {
-    let order = order(entry, job, trail, life, assembly);
+    let order = order(entry, job, trail, life, assembly, chosen.agent);
     let sent = entry.context.clock.now();
     assembly.expect(order.attempt);
     let open = Open::Run(Box::new(order));
@@ -539,7 +547,7 @@
             StreamEnd::Lost => Failure::Broken,
             StreamEnd::NeverSent => Failure::NeverSent,
         };
-        if !matches!(failure, Failure::NeverSent | Failure::Refused(_)) {
+        if !assembly.bytes().is_empty() {
             life.sent();
         }
         let now = entry.context.clock.now();
--- a/crates/daemon/src/keeper/core.rs
+++ b/crates/daemon/src/keeper/core.rs
@@ -629,7 +629,8 @@
             self.reply(reply, Answer::Done);
             return;
         }
-        if self.tenancies.ended(lease, self.now) {
+        let share = &self.share;
+        if !self.tenancies.admits(lease, draw.fresh, share, self.now) {
             self.reply(reply, Answer::Ended);
             return;
         }
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -54,6 +54,8 @@
     pub address: SocketAddr,
     /// The demands.
     pub demands: Vec<Demand>,
+    /// Whether no keeper has answered under the lease yet.
+    pub fresh: bool,
     /// Whether the entry is done with the lease: no reservation is open.
     pub close: bool,
 }
--- a/crates/ledger/src/reclaim.rs
+++ b/crates/ledger/src/reclaim.rs
@@ -58,6 +58,17 @@
         tenancies
     }
 
+    /// Returns whether the holder of `lease` may draw at `now`.
+    ///
+    /// A lease that is over isn't opened again: its holder, suspended perhaps, still
+    /// counts on grants that were taken back. Only a holder that says it's `fresh`,
+    /// that it was never granted anything, opens a lease.
+    #[must_use]
+    pub fn admits(&self, lease: LeaseId, fresh: bool, share: &Share, now: Time) -> bool {
+        let known = self.table.contains_key(&lease) || share.has(lease);
+        (known || fresh) && !self.ended(lease, now)
+    }
+
     /// Notes that the holder of `lease` was heard at `now`.
     pub fn renew(&mut self, lease: LeaseId, now: Time) {
         let tenancy = self.table.entry(lease).or_default();
--- a/crates/ledger/src/share.rs
+++ b/crates/ledger/src/share.rs
@@ -188,6 +188,12 @@
         Self::taken(&pot).less(allotted.plus(pot.credited))
     }
 
+    /// Returns whether `lease` is open.
+    #[must_use]
+    pub fn has(&self, lease: LeaseId) -> bool {
+        self.leases.contains_key(&lease)
+    }
+
     /// Returns the grant of `team` to `lease`.
     #[must_use]
     pub fn grant(&self, lease: LeaseId, team: TeamId) -> Grant {
--- a/crates/ledger/src/wallet.rs
+++ b/crates/ledger/src/wallet.rs
@@ -83,6 +83,12 @@
         self.lease
     }
 
+    /// Returns whether no keeper has answered under the lease yet.
+    #[must_use]
+    pub fn fresh(&self) -> bool {
+        self.until == Time(0)
+    }
+
     /// Returns how long the lease lasts from `now`.
     #[must_use]
     pub fn left(&self, now: Time) -> Span {
--- a/crates/ledger/tests/fuzz.rs
+++ b/crates/ledger/tests/fuzz.rs
@@ -62,6 +62,7 @@
     QuickCheck::new()
         .rng(Gen::from_size_and_seed(STEPS, seed))
         .tests(histories)
+        .max_tests(histories)
         .quickcheck(history_holds as fn(Vec<Step>) -> bool);
 }
 
@@ -87,3 +88,33 @@
         .tests(HISTORIES / 5)
         .quickcheck(slow_history_holds as fn(Vec<Step>) -> bool);
 }
+
+/// Histories that once broke a promise, as the generator shrank them.
+fn found_before() -> Vec<Vec<Step>> {
+    vec![
+        // A holder that outlived its lease drew again after the keeper had taken the
+        // rest back and restarted, and spent grants that were no longer its own.
+        vec![
+            Step::TopUp(148, 163, 172),
+            Step::Draw(207, 177, 218),
+            Step::Deliver(54363),
+            Step::Pass(62306),
+            Step::Pass(61785),
+            Step::Reclaim(234),
+            Step::DeliverAll,
+            Step::Reclaim(33),
+            Step::AgentDies(106),
+            Step::Draw(111, 44, 4),
+            Step::KeeperRestarts(51, 245),
+            Step::DeliverAll,
+            Step::Start(156, 227, 144),
+        ],
+    ]
+}
+
+#[test]
+fn histories_found_before_hold() {
+    for history in found_before() {
+        assert!(history_holds(history));
+    }
+}
--- a/crates/ledger/tests/leases.rs
+++ b/crates/ledger/tests/leases.rs
@@ -158,3 +158,19 @@
     let changed = share.decide_top_up(&topup("1/a", 101));
     assert_eq!(changed, Err(TopUpError::OtherTopUp));
 }
+
+#[test]
+fn a_lease_that_is_over_is_opened_again_by_nobody() {
+    let mut share = share_with_grant();
+    let mut tenancies = Tenancies::default();
+    tenancies.renew(LEASE_ID, Time(0));
+    assert!(tenancies.admits(LEASE_ID, false, &share, Time(1)));
+    share.apply(&Event::Closed(LEASE_ID));
+    tenancies.close(LEASE_ID);
+    assert!(!tenancies.admits(LEASE_ID, false, &share, Time(1)));
+    let other = LeaseId {
+        epoch: 9,
+        ..LEASE_ID
+    };
+    assert!(tenancies.admits(other, true, &share, Time(1)));
+}
--- a/crates/ledger/tests/site/mod.rs
+++ b/crates/ledger/tests/site/mod.rs
@@ -62,7 +62,7 @@
 
 #[derive(Clone, Debug)]
 enum Message {
-    Draw(usize, LeaseId, TeamId, Tokens, Time),
+    Draw(usize, LeaseId, bool, TeamId, Tokens, Time),
     Drawn(usize, LeaseId, TeamId, Tokens, Time),
     GaveBack(usize, LeaseId, TeamId, Tokens),
     Receipt(usize, Receipt),
@@ -289,7 +289,9 @@
         if entry.alive {
             let lease = entry.wallet.lease();
             let need = Tokens(u64::from(need) / 4);
-            self.net.push(Message::Draw(e, lease, team, need, sent));
+            let fresh = entry.wallet.fresh();
+            self.net
+                .push(Message::Draw(e, lease, fresh, team, need, sent));
         }
     }
 
@@ -333,7 +335,9 @@
 
     fn deliver(&mut self, message: Message) {
         match message {
-            Message::Draw(e, lease, team, need, sent) => self.on_draw(e, lease, team, need, sent),
+            Message::Draw(e, lease, fresh, team, need, sent) => {
+                self.on_draw(e, (lease, fresh), team, need, sent);
+            }
             Message::Drawn(e, lease, team, total, sent) => {
                 let entry = &mut self.entries[e];
                 if entry.alive && entry.wallet.lease() == lease {
@@ -380,12 +384,18 @@
         }
     }
 
-    fn on_draw(&mut self, e: usize, lease: LeaseId, team: TeamId, need: Tokens, sent: Time) {
+    fn on_draw(
+        &mut self,
+        e: usize,
+        (lease, fresh): (LeaseId, bool),
+        team: TeamId,
+        need: Tokens,
+        sent: Time,
+    ) {
         let k = self.entries[e].keeper;
         let now = self.now;
         let keeper = &mut self.keepers[k];
-        // A lease that has ended is not opened again by a late message.
-        if keeper.tenancies.ended(lease, now) {
+        if !keeper.tenancies.admits(lease, fresh, &keeper.share, now) {
             return;
         }
         keeper.tenancies.renew(lease, now);
@@ -553,7 +563,10 @@
                     let asks = agents.into_iter().map(|a| Message::Vouch(k, lease, a));
                     self.net.extend(asks);
                 }
-                Standing::Clear => self.journal(k, Event::Closed(lease)),
+                Standing::Clear => {
+                    self.journal(k, Event::Closed(lease));
+                    self.keepers[k].tenancies.close(lease);
+                }
             }
         }
     }
--- a/crates/request/src/frame.rs
+++ b/crates/request/src/frame.rs
@@ -1,5 +1,6 @@
 //! What travels between entry and agent.
 
+use base::AgentId;
 use base::Digest;
 use base::KeeperId;
 use base::LeaseId;
@@ -39,6 +40,8 @@
 /// An order to run a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Order {
+    /// The process that the order is meant for.
+    pub agent: AgentId,
     /// The request.
     pub request: RequestId,
     /// The attempt, counted from one.
@@ -86,6 +89,9 @@
     /// The request or attempt was called off before it came.
     #[error("the request was called off")]
     Tombstone,
+    /// The order was meant for an earlier process.
+    #[error("the order was meant for an earlier process")]
+    Gone,
     /// The endpoint has no room.
     #[error("the endpoint is full")]
     Full,
--- a/crates/request/src/gate.rs
+++ b/crates/request/src/gate.rs
@@ -3,6 +3,7 @@
 //! The gate remembers each attempt that came and each that was called off. An
 //! attempt that was called off before it came finds its tombstone and is refused.
 
+use base::AgentId;
 use base::LeaseId;
 use base::Map;
 use base::RequestId;
@@ -49,6 +50,7 @@
 /// The gate before one endpoint.
 #[derive(Clone, Debug)]
 pub struct Gate {
+    id: AgentId,
     known: Map<RequestId, Known>,
     barred: Set<LeaseId>,
     room: usize,
@@ -57,10 +59,12 @@
 }
 
 impl Gate {
-    /// Returns the gate of an endpoint that runs at most `room` requests.
+    /// Returns the gate of the agent `id`, whose endpoint runs at most `room`
+    /// requests.
     #[must_use]
-    pub fn new(room: usize) -> Self {
+    pub fn new(id: AgentId, room: usize) -> Self {
         Self {
+            id,
             known: Map::default(),
             barred: Set::default(),
             room,
@@ -138,7 +142,10 @@
     }
 
     fn obstacle(&self, order: &Order) -> Option<Refusal> {
-        if self.barred.contains(&order.lease) {
+        if order.agent != self.id {
+            // What the earlier process promised, a tombstone too, is forgotten.
+            Some(Refusal::Gone)
+        } else if self.barred.contains(&order.lease) {
             Some(Refusal::Barred)
         } else if self.leaving {
             Some(Refusal::Leaving)
--- a/crates/request/src/life.rs
+++ b/crates/request/src/life.rs
@@ -1,6 +1,7 @@
 //! An entry's decisions when an attempt fails.
 //!
-//! "Not run" needs proof: the order never left, or the agent has refused it or
+//! A stream that breaks before any part came leaves a doubt, which a tombstone at
+//! the agent can still settle. "Not run" needs proof: the order never left, or the agent has refused it or
 //! put down a tombstone. Whatever else fails leaves the outcome unknown, unless
 //! the request may be repeated.
 
@@ -82,7 +83,7 @@
         now.until(self.deadline)
     }
 
-    /// Notes that the agent has the order or that a part of the answer came.
+    /// Notes that a part of the answer came.
     pub fn sent(&mut self) {
         self.started = true;
     }
@@ -99,6 +100,8 @@
             }
             Failure::Broken | Failure::Unreachable | Failure::Failed => {
                 if self.repeatable && budget && time && self.attempt < MAX_ATTEMPTS {
+                    // What became of this attempt stays unknown.
+                    self.started = true;
                     self.next_attempt()
                 } else {
                     Next::Unknown
@@ -116,7 +119,7 @@
                 self.end(last)
             }
             Refusal::Absent => Next::Unknown,
-            Refusal::Leaving | Refusal::Barred | Refusal::Full | Refusal::Down => {
+            Refusal::Leaving | Refusal::Gone | Refusal::Barred | Refusal::Full | Refusal::Down => {
                 self.retry_or(last, budget, time)
             }
         }
