Split the keeper's core and the entry's way, and test planned stops

Change: the keeper's core is split into grants and operators' questions, the entry's way of a request into records and claims; a node says that it's closed.

Ruled out: restarting a keeper within one process, since its address stays held for a while by connections that drain; real processes are restarted in the kill test.

--- a/crates/daemon/src/entry/drive.rs
+++ b/crates/daemon/src/entry/drive.rs
@@ -9,7 +9,6 @@
 use base::Digest;
 use base::EndpointId;
 use base::KeeperId;
-use base::RequestId;
 use base::Span;
 use base::Time;
 use base::Tokens;
@@ -19,10 +18,7 @@
 use fleet::wire::Open;
 use ledger::Receipt;
 use request::Assembly;
-use request::Claim;
-use request::Claimed;
 use request::End;
-use request::Enrolled;
 use request::Final;
 use request::Life;
 use request::Next;
@@ -32,7 +28,6 @@
 use request::Refusal;
 use request::Work;
 use request::life::Failure;
-use request::records::homes;
 
 use super::Entry;
 use super::acquire;
@@ -46,6 +41,9 @@
 use super::tables::Chosen;
 use super::tables::Member;
 
+mod once;
+mod records;
+
 /// Longest wait for a keeper's answer within a request.
 const KEEPER_WAIT: Span = Span::millis(600);
 
@@ -231,48 +229,20 @@
         return not_run(reason);
     }
     if job.repeatable {
-        match find(entry, job.flow.request).await {
+        match records::find(entry, job.flow.request).await {
             Some(Some(record)) => join(entry, job, trail, life, assembly, &record).await,
             Some(None) => not_run(reason),
             None => unknown(),
         }
     } else {
-        match find_claim(entry, job.flow.request).await {
-            Some(Some(claim)) => join_claim(entry, job, trail, life, assembly, claim).await,
+        match once::find_claim(entry, job.flow.request).await {
+            Some(Some(claim)) => once::join_claim(entry, job, trail, life, assembly, claim).await,
             Some(None) => not_run(reason),
             None => unknown(),
         }
     }
 }
 
-/// Returns the record of a request, `Some(None)` where all its homes have none, or
-/// `None` where that isn't certain.
-async fn find(entry: &Entry, request: RequestId) -> Option<Option<Record>> {
-    let mut certain = true;
-    for address in record_homes(entry, request) {
-        match entry
-            .node
-            .ask(address, Ask::Find(request), RECORD_WAIT)
-            .await
-        {
-            Ok(Answer::Found(Some(record))) => return Some(Some(record)),
-            Ok(Answer::Found(None)) => {}
-            Ok(_) | Err(_) => certain = false,
-        }
-    }
-    certain.then_some(None)
-}
-
-async fn find_claim(entry: &Entry, request: RequestId) -> Option<Option<Claim>> {
-    for peer in &entry.context.keepers {
-        let ask = Ask::FindClaim(request);
-        if let Ok(Answer::Standing(claim)) = entry.node.ask(peer.address, ask, KEEPER_WAIT).await {
-            return Some(claim);
-        }
-    }
-    None
-}
-
 fn after(entry: &Entry, life: &mut Life, failure: Failure) -> Verdict {
     let budget = entry.tables.endpoints().retries.retry();
     let now = entry.context.clock.now();
@@ -299,7 +269,7 @@
     if job.repeatable {
         repeatable(entry, job, trail, life, assembly, chosen).await
     } else {
-        once(entry, job, trail, life, assembly, chosen).await
+        once::once(entry, job, trail, life, assembly, chosen).await
     }
 }
 
@@ -380,41 +350,6 @@
     }
 }
 
-/// Returns the keepers that hold a request's record.
-fn record_homes(entry: &Entry, request: RequestId) -> Vec<SocketAddr> {
-    let keepers = &entry.context.keepers;
-    let ids: Vec<KeeperId> = keepers.iter().map(|peer| peer.number).collect();
-    let ranked = homes(request, &ids);
-    let address = |id: &KeeperId| keepers.iter().find(|peer| peer.number == *id);
-    let peers = ranked.iter().filter_map(address);
-    peers.map(|peer| peer.address).collect()
-}
-
-/// Records where the request is sent; returns where it runs already.
-async fn enrol(entry: &Entry, record: Record, replaces: Option<u64>) -> Option<Record> {
-    let mut tasks = Vec::new();
-    for address in record_homes(entry, record.request) {
-        let node = entry.node.clone();
-        let ask = Ask::Enrol(record, replaces);
-        let task = async move { node.ask(address, ask, RECORD_WAIT).await };
-        tasks.push(entry.context.pool.task(task));
-    }
-    let mut present = None;
-    for task in tasks {
-        if let Ok(Answer::Enrolled(Enrolled::Present(earlier))) = task.await {
-            present = Some(earlier);
-        }
-    }
-    present
-}
-
-async fn unenrol(entry: &Entry, request: RequestId, nonce: u64) {
-    for address in record_homes(entry, request) {
-        let ask = Ask::Unenrol(request, nonce);
-        let _ = entry.node.ask(address, ask, RECORD_WAIT).await;
-    }
-}
-
 async fn repeatable(
     entry: &Entry,
     job: &Job,
@@ -431,7 +366,7 @@
         address: chosen.address,
         nonce: fastrand::u64(1..),
     };
-    if let Some(earlier) = enrol(entry, record, trail.nonce).await {
+    if let Some(earlier) = records::enrol(entry, record, trail.nonce).await {
         return join(entry, job, trail, life, assembly, &earlier).await;
     }
     trail.nonce = Some(record.nonce);
@@ -440,7 +375,7 @@
         verdict,
         Verdict::Done(Ending::Error(CallerError::NotRun(_)), _)
     ) {
-        unenrol(entry, job.flow.request, record.nonce).await;
+        records::unenrol(entry, job.flow.request, record.nonce).await;
     }
     verdict
 }
@@ -602,93 +537,6 @@
         .answered(chosen.slot, first.since(sent), aim);
 }
 
-/// Claims a call that may run once, and sends it.
-async fn once(
-    entry: &Entry,
-    job: &Job,
-    trail: &mut Trail,
-    life: &mut Life,
-    assembly: &mut Assembly,
-    chosen: &Chosen,
-) -> Verdict {
-    let claim = Claim {
-        request: job.flow.request,
-        digest: job.flow.digest,
-        entry: entry.tables.id(),
-        agent: chosen.agent,
-        nonce: fastrand::u64(1..),
-    };
-    match ask_claim(entry, claim).await {
-        Some(Claimed::Granted) => {}
-        Some(Claimed::OtherBody) => {
-            return Verdict::Done(Ending::Error(CallerError::OtherBody), None);
-        }
-        Some(Claimed::Taken(earlier)) => {
-            return join_claim(entry, job, trail, life, assembly, earlier).await;
-        }
-        // Nothing has been sent and, without the claim, nothing will be.
-        None => return not_run(NotRun::NoQuorum),
-    }
-    let verdict = send(entry, job, trail, life, assembly, chosen).await;
-    let unsent = matches!(
-        &verdict,
-        Verdict::Again | Verdict::Done(Ending::Error(CallerError::NotRun(_)), _)
-    );
-    if unsent && !ask_free(entry, claim).await {
-        // The claim stands in the way of a second try, which isn't needed to run.
-        return not_run(NotRun::NoQuorum);
-    }
-    verdict
-}
-
-async fn ask_claim(entry: &Entry, claim: Claim) -> Option<Claimed> {
-    for peer in &entry.context.keepers {
-        let ask = Ask::Claim(claim);
-        if let Ok(Answer::Claimed(claimed)) = entry.node.ask(peer.address, ask, KEEPER_WAIT).await {
-            return Some(claimed);
-        }
-    }
-    None
-}
-
-async fn ask_free(entry: &Entry, claim: Claim) -> bool {
-    for peer in &entry.context.keepers {
-        let ask = Ask::Free(claim);
-        if let Ok(Answer::Done) = entry.node.ask(peer.address, ask, KEEPER_WAIT).await {
-            return true;
-        }
-    }
-    false
-}
-
-async fn join_claim(
-    entry: &Entry,
-    job: &Job,
-    trail: &mut Trail,
-    life: &mut Life,
-    assembly: &mut Assembly,
-    claim: Claim,
-) -> Verdict {
-    let Some(address) = entry.tables.address(claim.agent) else {
-        free(entry, job, trail);
-        return unknown();
-    };
-    let joined = attach(entry, job, claim.agent, address, life, assembly).await;
-    free(entry, job, trail);
-    match joined {
-        StreamEnd::Whole(end) => Verdict::Done(Ending::Whole(end), None),
-        StreamEnd::Refused(Refusal::Tombstone) if trail.joins < MAX_JOINS => {
-            trail.joins += 1;
-            if ask_free(entry, claim).await {
-                Verdict::Again
-            } else {
-                not_run(NotRun::NoQuorum)
-            }
-        }
-        _ => unknown(),
-    }
-}
-
 /// Returns a digest over all that makes two requests with one key the same.
 #[must_use]
 pub fn body_digest(path: &str, body: &[u8]) -> Digest {
--- a/crates/daemon/src/keeper/core.rs
+++ b/crates/daemon/src/keeper/core.rs
@@ -17,8 +17,6 @@
 use base::TeamId;
 use base::Time;
 use base::Tokens;
-use config::check;
-use config::register;
 use consensus::Effects;
 use consensus::Entry;
 use consensus::Payload;
@@ -27,23 +25,15 @@
 use consensus::Write;
 use fleet::Answer;
 use fleet::Ask;
-use fleet::wire::Balance;
 use fleet::wire::Credit;
 use fleet::wire::Demand;
-use fleet::wire::Draw;
-use fleet::wire::Granted;
 use fleet::wire::News;
-use fleet::wire::Status;
 use fleet::wire::Verdict;
 use fleet::wire::Watch;
-use ledger::Command;
 use ledger::Event;
-use ledger::Move;
 use ledger::Outcome;
-use ledger::Receipt;
 use ledger::Share;
 use ledger::Tenancies;
-use ledger::TopUp;
 use ledger::central::Want;
 use ledger::reclaim::Standing;
 use ledger::verify;
@@ -56,8 +46,8 @@
 use super::site::Effect;
 use super::site::Site;
 
-/// How long a draw waits for tokens from elsewhere before it's refused.
-const DRAW_WAIT: Span = Span::millis(400);
+mod grants;
+mod operators;
 
 /// How long a batch may stay unapplied before it's sent again.
 const BATCH_RETRY: Span = Span::millis(400);
@@ -65,18 +55,12 @@
 /// How often leases and agents are looked through.
 const SWEEP: Span = Span::millis(1_000);
 
-/// Least time between two recalls of one team's tokens.
-const RECALL_GAP: Span = Span::millis(50);
-
 /// Entries in memory after which the log is compacted.
 const COMPACT_AFTER: usize = 20_000;
 
 /// How long an entry that falls silent is shown to operators.
 const ENTRY_SHOWN: Span = Span::secs(30);
 
-/// How long a budget counts as drawn on after a draw.
-const ACTIVE: Span = Span::secs(600);
-
 /// Accepted documents shown to operators.
 const HISTORY_SHOWN: usize = 100;
 
@@ -576,22 +560,6 @@
         }
     }
 
-    fn change_members(&mut self, change: consensus::Change, ask: Ask, reply: Reply) {
-        if self.replica.role() != Role::Leader {
-            self.forward(ask, Waiting::Plain(reply));
-            return;
-        }
-        match self.replica.change(change) {
-            Ok((position, effects)) => {
-                let waiting = Waiting::Plain(reply);
-                self.waiting
-                    .insert(position.index, (position.term, waiting));
-                self.absorb(effects);
-            }
-            Err(error) => self.reply(reply, Answer::Refused(error.to_string())),
-        }
-    }
-
     fn on_announce(&mut self, announce: Announce, reply: Reply) {
         let agent = announce.agent;
         let document = announce.document;
@@ -631,192 +599,6 @@
         }
     }
 
-    fn on_draw(&mut self, draw: Draw, reply: Reply) {
-        let lease = draw.lease;
-        for demand in &draw.demands {
-            let event = self
-                .share
-                .decide_return(lease, demand.team, demand.returned);
-            if let Some(event) = event {
-                self.journal(event);
-            }
-        }
-        if draw.close {
-            self.close(lease);
-            self.reply(reply, Answer::Done);
-            return;
-        }
-        let share = &self.share;
-        if !self.tenancies.admits(lease, draw.fresh, share, self.now) {
-            self.reply(reply, Answer::Ended);
-            return;
-        }
-        self.tenancies.renew(lease, self.now);
-        self.holders.insert(lease, draw.address);
-        for demand in &draw.demands {
-            self.active.insert(demand.team, self.now);
-            let sum = self.demand.entry(demand.team).or_default();
-            *sum = sum.plus(demand.extra);
-        }
-        self.waiters.push(Waiter {
-            lease,
-            demands: draw.demands,
-            until: self.now + DRAW_WAIT,
-            reply,
-        });
-        self.serve_waiters();
-        if !self.waiters.is_empty() {
-            self.post(false);
-            self.recall_for_waiters();
-        }
-    }
-
-    /// Grants what can be granted; answers draws that are met or too old.
-    fn serve_waiters(&mut self) {
-        let waiters = std::mem::take(&mut self.waiters);
-        for mut waiter in waiters {
-            for place in 0..waiter.demands.len() {
-                let demand = waiter.demands[place];
-                if self.grant(waiter.lease, &demand) {
-                    waiter.demands[place].need = Tokens::ZERO;
-                    waiter.demands[place].extra = Tokens::ZERO;
-                }
-            }
-            let met = waiter.demands.iter().all(|demand| demand.need.is_zero());
-            if met || self.now >= waiter.until {
-                let granted = waiter.demands.iter().map(|demand| Granted {
-                    team: demand.team,
-                    total: self.share.grant(waiter.lease, demand.team).granted,
-                    exhausted: !demand.need.is_zero(),
-                });
-                let granted = granted.collect();
-                self.reply(waiter.reply, Answer::Granted(granted));
-            } else {
-                self.waiters.push(waiter);
-            }
-        }
-    }
-
-    /// Grants a demand; returns whether its need is met.
-    fn grant(&mut self, lease: LeaseId, demand: &Demand) -> bool {
-        let Demand {
-            team, need, extra, ..
-        } = *demand;
-        let allotted = self.site.ledger.allotted(self.id, team);
-        let event = self.share.decide_grant(lease, team, need, extra, allotted);
-        let met = need.is_zero() || event.is_some();
-        if let Some(event) = event {
-            self.journal(event);
-        }
-        met
-    }
-
-    fn close(&mut self, lease: LeaseId) {
-        if self.share.leases().any(|open| open == lease) {
-            self.journal(Event::Closed(lease));
-        }
-        self.tenancies.close(lease);
-        self.holders.remove(&lease);
-    }
-
-    fn on_receipts(&mut self, receipts: &[Receipt], reply: Reply) {
-        let mut bills = Vec::with_capacity(receipts.len());
-        for receipt in receipts {
-            let (bill, event) = self.share.decide_receipt(receipt);
-            if let Some(event) = event {
-                self.journal(event);
-            }
-            bills.push(bill);
-        }
-        self.reply(reply, Answer::Bills(bills));
-    }
-
-    /// Returns every fault that this keeper sees in a document.
-    fn faults_of(&self, document: &config::Document) -> Vec<config::Fault> {
-        let mut faults = check::document(document);
-        let current = self.site.register.current();
-        if document.follows == current.number {
-            let mut world = self.site.world();
-            for endpoint in self.registry.present() {
-                let serves = endpoint.serves.clone();
-                world.serving.insert(endpoint.name.clone(), serves);
-            }
-            faults.extend(check::change(current, document, &world));
-        }
-        faults
-    }
-
-    fn on_submit(&mut self, document: &config::Document, operator: String, reply: Reply) {
-        let digest = config::write::digest(document);
-        let earlier = self.site.register.earlier(document.number, &digest);
-        if let Some(answer) = earlier {
-            self.reply(reply, Answer::Verdict(verdict(answer)));
-            return;
-        }
-        let current = self.site.register.current().clone();
-        let faults = self.faults_of(document);
-        if !faults.is_empty() {
-            self.reply(reply, Answer::Verdict(Verdict::Faulty(faults)));
-            return;
-        }
-        let mut submission = register::submission(&current, document, &operator);
-        // A document that follows another number is answered by the log.
-        submission.patch.follows = document.follows;
-        let ask = Ask::Submit(Box::new(document.clone()), operator);
-        self.propose(&Change::Submit(submission), Waiting::Submit(reply), ask);
-    }
-
-    fn on_top_up(&mut self, topup: TopUp, reply: Reply) {
-        let known = self.site.register.current().team(topup.team).is_some();
-        if !known {
-            let credit = Credit::Refused("the document has no such team".to_owned());
-            self.reply(reply, Answer::Credit(credit));
-            return;
-        }
-        match topup.id.home() {
-            ledger::Home::Ledger => {
-                let change = Change::Ledger(Command::TopUp(topup.clone()));
-                self.propose(&change, Waiting::TopUp(reply), Ask::TopUp(topup));
-            }
-            ledger::Home::Keeper(home) if home != self.id => {
-                if let Some(&address) = self.peers.get(&home) {
-                    let ask = Ask::TopUp(topup);
-                    self.out.push(Output::Forward(address, ask, reply));
-                } else {
-                    let credit = Credit::Refused(format!("{home} is unknown"));
-                    self.reply(reply, Answer::Credit(credit));
-                }
-            }
-            ledger::Home::Keeper(_) => {
-                let credit = match self.share.decide_top_up(&topup) {
-                    Ok(Some(event)) => {
-                        self.journal(event);
-                        Credit::Local
-                    }
-                    Ok(None) => Credit::Repeated,
-                    Err(error) => Credit::Refused(error.to_string()),
-                };
-                self.reply(reply, Answer::Credit(credit));
-                self.serve_waiters();
-                self.post(false);
-            }
-        }
-    }
-
-    fn on_release(&mut self, lease: LeaseId, reply: Reply) {
-        match self.tenancies.standing(lease, &self.share, self.now) {
-            Standing::Held(_) | Standing::Clear => {
-                log::warn!("keeper: an operator released lease {lease}");
-                self.close(lease);
-                self.reply(reply, Answer::Done);
-            }
-            Standing::Live | Standing::Waiting(_) => {
-                let reason = "the lease is in use or its agents can still be asked";
-                self.reply(reply, Answer::Refused(reason.to_owned()));
-            }
-        }
-    }
-
     fn on_tick(&mut self, wall: u64) {
         let effects = self.replica.tick(wall);
         self.absorb(effects);
@@ -830,152 +612,6 @@
         }
     }
 
-    /// Forms the next batch for the ledger, or sends the last one again.
-    fn post(&mut self, again: bool) {
-        let asks = self.changed_wants();
-        if self.share.batch().is_none() && (self.share.pending() || !asks.is_empty()) {
-            self.post_batch(asks, &[]);
-            return;
-        }
-        let late = self.now.since(self.batch_sent) >= BATCH_RETRY;
-        if again && late && self.share.batch().is_some() {
-            self.send_batch();
-        }
-    }
-
-    fn post_batch(&mut self, asks: Vec<(TeamId, Want)>, returns: &[(TeamId, Tokens)]) {
-        let moves = asks
-            .iter()
-            .map(|&(team, want)| Move::Ask { team, want })
-            .collect();
-        let event = self.share.decide_batch(moves, returns, &self.site.ledger);
-        if let Some(event) = event {
-            self.asked.extend(asks);
-            self.asked.retain(|_, want| !want.need.is_zero());
-            self.journal(event);
-            self.send_batch();
-        }
-    }
-
-    fn send_batch(&mut self) {
-        let Some(batch) = self.share.batch().cloned() else {
-            return;
-        };
-        self.batch_sent = self.now;
-        let change = Change::Ledger(Command::Post(batch));
-        if self.replica.role() == Role::Leader {
-            let Ok(data) = postcard::to_stdvec(&change) else {
-                return;
-            };
-            if let Ok((_, effects)) = self.replica.propose(data) {
-                self.absorb(effects);
-            }
-            return;
-        }
-        let leader = self.replica.leader();
-        let address = leader.and_then(|leader| self.peers.get(&leader).copied());
-        if let Some(address) = address
-            && let Ok(data) = postcard::to_stdvec(&change)
-        {
-            self.out.push(Output::Tell(address, Ask::Propose(data)));
-        }
-    }
-
-    /// Returns the needs that differ from what was last asked of the ledger.
-    fn changed_wants(&mut self) -> Vec<(TeamId, Want)> {
-        let mut needs: BTreeMap<TeamId, Tokens> = BTreeMap::new();
-        for waiter in &self.waiters {
-            for demand in waiter.demands.iter().filter(|d| !d.need.is_zero()) {
-                let need = needs.entry(demand.team).or_default();
-                *need = need.plus(demand.need);
-            }
-        }
-        for team in self.asked.keys() {
-            needs.entry(*team).or_default();
-        }
-        let mut changed = Vec::new();
-        for (team, need) in needs {
-            let allotted = self.site.ledger.allotted(self.id, team);
-            let need = need.less(self.share.free(team, allotted));
-            let known = self.asked.get(&team).map_or(Tokens::ZERO, |want| want.need);
-            if need != known {
-                let extra = if need.is_zero() {
-                    Tokens::ZERO
-                } else {
-                    self.demand.remove(&team).unwrap_or_default()
-                };
-                changed.push((team, Want { need, extra }));
-            }
-        }
-        changed
-    }
-
-    /// Asks other holders of this keeper's grants for what a request waits for.
-    fn recall_for_waiters(&mut self) {
-        let mut needs: BTreeMap<TeamId, (Tokens, Vec<LeaseId>)> = BTreeMap::new();
-        for waiter in &self.waiters {
-            for demand in waiter.demands.iter().filter(|d| !d.need.is_zero()) {
-                let (need, leases) = needs.entry(demand.team).or_default();
-                *need = need.plus(demand.need);
-                leases.push(waiter.lease);
-            }
-        }
-        for (team, (need, except)) in needs {
-            self.recall(team, need, &except);
-        }
-    }
-
-    fn recall(&mut self, team: TeamId, need: Tokens, except: &[LeaseId]) {
-        let last = self.recalled.get(&team).copied().unwrap_or_default();
-        if last != Time(0) && self.now.since(last) < RECALL_GAP {
-            return;
-        }
-        self.recalled.insert(team, self.now);
-        for (lease, _) in self.share.holders(team) {
-            if except.contains(&lease) {
-                continue;
-            }
-            if let Some(&address) = self.holders.get(&lease) {
-                self.out.push(Output::Recall(address, team, need));
-            }
-        }
-    }
-
-    /// Returns idle tokens that requests at other keepers wait for.
-    fn return_to_others(&mut self) {
-        let short: Vec<TeamId> = self.site.ledger.short().collect();
-        if short.is_empty() {
-            return;
-        }
-        let mut returns = Vec::new();
-        for team in short {
-            let Some(account) = self.site.ledger.account(team) else {
-                continue;
-            };
-            let own = account
-                .parts
-                .get(&self.id)
-                .map_or(Tokens::ZERO, |p| p.want.need);
-            let need = account.deficit().less(own);
-            let waits = !own.is_zero() || self.asked.contains_key(&team);
-            if need.is_zero() || waits {
-                continue;
-            }
-            let allotted = self.site.ledger.allotted(self.id, team);
-            let free = self.share.free(team, allotted);
-            if !free.is_zero() {
-                returns.push((team, need));
-            }
-            let missing = need.less(free);
-            if !missing.is_zero() {
-                self.recall(team, missing, &[]);
-            }
-        }
-        if !returns.is_empty() && self.share.batch().is_none() {
-            self.post_batch(Vec::new(), &returns);
-        }
-    }
-
     /// Looks through leases, agents and balances.
     fn sweep(&mut self) {
         for agent in self.registry.expire(self.now) {
@@ -1010,80 +646,6 @@
         }
     }
 
-    /// Asks for an even part of the budgets that are drawn on here.
-    fn stand_ready(&mut self) {
-        let now = self.now;
-        self.active.retain(|_, at| now.since(*at) < ACTIVE);
-        if self.share.batch().is_some() {
-            return;
-        }
-        let mut asks = Vec::new();
-        for &team in self.active.keys() {
-            let extra = self.share.lacks(team, &self.site.ledger);
-            if !extra.is_zero() && !self.asked.contains_key(&team) {
-                let need = Tokens::ZERO;
-                asks.push((team, Want { need, extra }));
-            }
-        }
-        if !asks.is_empty() {
-            self.post_batch(asks, &[]);
-        }
-    }
-
-    fn status(&self) -> Status {
-        let document = self.site.register.current();
-        let names: Map<TeamId, &str> = document
-            .teams
-            .keys()
-            .map(|name| (TeamId::named(name), name.as_str()))
-            .collect();
-        let mut balances: Vec<Balance> = self
-            .site
-            .ledger
-            .accounts()
-            .iter()
-            .map(|(team, account)| Balance {
-                team: names.get(team).map_or(team.to_string(), |&n| n.to_owned()),
-                credits: account.credits,
-                free: account.free,
-                held: account.held(),
-                settled: account.settled,
-            })
-            .collect();
-        balances.sort_by(|a, b| a.team.cmp(&b.team));
-        let held = self
-            .share
-            .leases()
-            .filter(|lease| self.is_held(*lease))
-            .map(|lease| (lease, self.share.held(lease)))
-            .collect();
-        let mut entries: Vec<(EntryId, u64)> = self
-            .entries
-            .iter()
-            .map(|(&entry, &(document, _))| (entry, document))
-            .collect();
-        entries.sort_unstable();
-        Status {
-            keeper: self.id.0,
-            domain: self.domain.clone(),
-            leads: self.replica.role() == Role::Leader,
-            leader: self.replica.leader().map(|id| id.0),
-            term: self.replica.term(),
-            applied: self.replica.commit(),
-            document: document.number,
-            endpoints: self.registry.present().cloned().collect(),
-            balances,
-            held,
-            entries,
-            faults: self.faults,
-        }
-    }
-
-    fn is_held(&self, lease: LeaseId) -> bool {
-        let standing = self.tenancies.standing(lease, &self.share, self.now);
-        matches!(standing, Standing::Held(_))
-    }
-
     /// Returns the question that a keeper without a seat sends to join.
     #[must_use]
     pub fn join(&self) -> Option<Ask> {
--- /dev/null
+++ b/crates/daemon/src/keeper/core/operators.rs
@@ -0,0 +1,188 @@
+//! Operators' questions: documents, top-ups, members, the keeper's view.
+
+use base::EntryId;
+use base::LeaseId;
+use base::Map;
+use base::TeamId;
+use config::check;
+use config::register;
+use consensus::Role;
+use fleet::Answer;
+use fleet::Ask;
+use fleet::wire::Balance;
+use fleet::wire::Credit;
+use fleet::wire::Status;
+use fleet::wire::Verdict;
+use ledger::Command;
+use ledger::TopUp;
+use ledger::reclaim::Standing;
+
+use super::super::site::Change;
+use super::Core;
+use super::Output;
+use super::Reply;
+use super::Waiting;
+use super::verdict;
+
+impl Core {
+    /// Returns every fault that this keeper sees in a document.
+    pub(super) fn faults_of(&self, document: &config::Document) -> Vec<config::Fault> {
+        let mut faults = check::document(document);
+        let current = self.site.register.current();
+        if document.follows == current.number {
+            let mut world = self.site.world();
+            for endpoint in self.registry.present() {
+                let serves = endpoint.serves.clone();
+                world.serving.insert(endpoint.name.clone(), serves);
+            }
+            faults.extend(check::change(current, document, &world));
+        }
+        faults
+    }
+
+    pub(super) fn on_submit(
+        &mut self,
+        document: &config::Document,
+        operator: String,
+        reply: Reply,
+    ) {
+        let digest = config::write::digest(document);
+        let earlier = self.site.register.earlier(document.number, &digest);
+        if let Some(answer) = earlier {
+            self.reply(reply, Answer::Verdict(verdict(answer)));
+            return;
+        }
+        let current = self.site.register.current().clone();
+        let faults = self.faults_of(document);
+        if !faults.is_empty() {
+            self.reply(reply, Answer::Verdict(Verdict::Faulty(faults)));
+            return;
+        }
+        let mut submission = register::submission(&current, document, &operator);
+        // A document that follows another number is answered by the log.
+        submission.patch.follows = document.follows;
+        let ask = Ask::Submit(Box::new(document.clone()), operator);
+        self.propose(&Change::Submit(submission), Waiting::Submit(reply), ask);
+    }
+
+    pub(super) fn on_top_up(&mut self, topup: TopUp, reply: Reply) {
+        let known = self.site.register.current().team(topup.team).is_some();
+        if !known {
+            let credit = Credit::Refused("the document has no such team".to_owned());
+            self.reply(reply, Answer::Credit(credit));
+            return;
+        }
+        match topup.id.home() {
+            ledger::Home::Ledger => {
+                let change = Change::Ledger(Command::TopUp(topup.clone()));
+                self.propose(&change, Waiting::TopUp(reply), Ask::TopUp(topup));
+            }
+            ledger::Home::Keeper(home) if home != self.id => {
+                if let Some(&address) = self.peers.get(&home) {
+                    let ask = Ask::TopUp(topup);
+                    self.out.push(Output::Forward(address, ask, reply));
+                } else {
+                    let credit = Credit::Refused(format!("{home} is unknown"));
+                    self.reply(reply, Answer::Credit(credit));
+                }
+            }
+            ledger::Home::Keeper(_) => {
+                let credit = match self.share.decide_top_up(&topup) {
+                    Ok(Some(event)) => {
+                        self.journal(event);
+                        Credit::Local
+                    }
+                    Ok(None) => Credit::Repeated,
+                    Err(error) => Credit::Refused(error.to_string()),
+                };
+                self.reply(reply, Answer::Credit(credit));
+                self.serve_waiters();
+                self.post(false);
+            }
+        }
+    }
+
+    pub(super) fn on_release(&mut self, lease: LeaseId, reply: Reply) {
+        match self.tenancies.standing(lease, &self.share, self.now) {
+            Standing::Held(_) | Standing::Clear => {
+                log::warn!("keeper: an operator released lease {lease}");
+                self.close(lease);
+                self.reply(reply, Answer::Done);
+            }
+            Standing::Live | Standing::Waiting(_) => {
+                let reason = "the lease is in use or its agents can still be asked";
+                self.reply(reply, Answer::Refused(reason.to_owned()));
+            }
+        }
+    }
+
+    pub(super) fn status(&self) -> Status {
+        let document = self.site.register.current();
+        let names: Map<TeamId, &str> = document
+            .teams
+            .keys()
+            .map(|name| (TeamId::named(name), name.as_str()))
+            .collect();
+        let mut balances: Vec<Balance> = self
+            .site
+            .ledger
+            .accounts()
+            .iter()
+            .map(|(team, account)| Balance {
+                team: names.get(team).map_or(team.to_string(), |&n| n.to_owned()),
+                credits: account.credits,
+                free: account.free,
+                held: account.held(),
+                settled: account.settled,
+            })
+            .collect();
+        balances.sort_by(|a, b| a.team.cmp(&b.team));
+        let held = self
+            .share
+            .leases()
+            .filter(|lease| self.is_held(*lease))
+            .map(|lease| (lease, self.share.held(lease)))
+            .collect();
+        let mut entries: Vec<(EntryId, u64)> = self
+            .entries
+            .iter()
+            .map(|(&entry, &(document, _))| (entry, document))
+            .collect();
+        entries.sort_unstable();
+        Status {
+            keeper: self.id.0,
+            domain: self.domain.clone(),
+            leads: self.replica.role() == Role::Leader,
+            leader: self.replica.leader().map(|id| id.0),
+            term: self.replica.term(),
+            applied: self.replica.commit(),
+            document: document.number,
+            endpoints: self.registry.present().cloned().collect(),
+            balances,
+            held,
+            entries,
+            faults: self.faults,
+        }
+    }
+
+    pub(super) fn is_held(&self, lease: LeaseId) -> bool {
+        let standing = self.tenancies.standing(lease, &self.share, self.now);
+        matches!(standing, Standing::Held(_))
+    }
+
+    pub(super) fn change_members(&mut self, change: consensus::Change, ask: Ask, reply: Reply) {
+        if self.replica.role() != Role::Leader {
+            self.forward(ask, Waiting::Plain(reply));
+            return;
+        }
+        match self.replica.change(change) {
+            Ok((position, effects)) => {
+                let waiting = Waiting::Plain(reply);
+                self.waiting
+                    .insert(position.index, (position.term, waiting));
+                self.absorb(effects);
+            }
+            Err(error) => self.reply(reply, Answer::Refused(error.to_string())),
+        }
+    }
+}
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -263,7 +263,7 @@
 }
 
 /// Time between two looks at the files of keys.
-const KEYS_LOOK: Duration = Duration::from_secs(5);
+const KEYS_LOOK: Duration = Duration::from_secs(1);
 
 /// Uses new keys once their files change.
 async fn rotate(mut node: Node, settings: Settings) {
@@ -274,7 +274,7 @@
             .ok()
     };
     let mut known = stamp();
-    loop {
+    while !node.closed() {
         Timer::after(KEYS_LOOK).await;
         let found = stamp();
         if found == known {
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -10,6 +10,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -127,6 +129,7 @@
     endpoint: quinn::Endpoint,
     peers: Arc<Mutex<Map<SocketAddr, Arc<Peer>>>>,
     address: SocketAddr,
+    closed: Arc<AtomicBool>,
 }
 
 fn transport() -> Arc<quinn::TransportConfig> {
@@ -186,6 +189,7 @@
             endpoint,
             peers: Arc::default(),
             address,
+            closed: Arc::default(),
         })
     }
 
@@ -210,9 +214,16 @@
 
     /// Closes all connections.
     pub fn close(&self) {
+        self.closed.store(true, Ordering::Relaxed);
         self.endpoint.close(0_u32.into(), b"stopped");
     }
 
+    /// Returns whether all connections were closed for good.
+    #[must_use]
+    pub fn closed(&self) -> bool {
+        self.closed.load(Ordering::Relaxed)
+    }
+
     /// Asks the peer at `address`; waits at most `patience` for the answer.
     ///
     /// # Errors
--- a/crates/mulberryctl/tests/failures.rs
+++ b/crates/mulberryctl/tests/failures.rs
@@ -443,3 +443,82 @@
         until_settled(&site, 0, sum).await;
     });
 }
+
+#[test]
+fn an_entry_that_stops_as_planned_cuts_nothing_and_gives_its_leases_back() {
+    let pool = Pool::start(4);
+    block_on(async {
+        let site = site(&pool, "entry-stops", &layout()).await;
+        let mut tasks = Vec::new();
+        for n in 0..24 {
+            let site = Arc::clone(&site);
+            tasks.push(pool.task(async move {
+                let outcome = chat(&site, 0, n, &format!("stop-{n}")).await;
+                match outcome {
+                    Outcome::Whole { tokens, .. } => tokens,
+                    other => panic!("{other:?}"),
+                }
+            }));
+        }
+        Timer::after(Duration::from_millis(60)).await;
+        let process = &site.entries[0];
+        process.stop().await;
+        assert!(!process.health.serving());
+        let mut sum = 0;
+        for task in tasks {
+            sum += task.await;
+        }
+        let entry = process.entry.as_ref().unwrap();
+        assert_eq!((entry.open(), entry.reserved()), (0, 0));
+        until_settled(&site, 1, sum).await;
+        for n in 100..106 {
+            until_whole(&site, 1 + n % 2, n, &format!("stop-{n}")).await;
+        }
+    });
+}
+
+#[test]
+fn a_keeper_that_stops_as_planned_cuts_no_request() {
+    let pool = Pool::start(4);
+    block_on(async {
+        let folder = folder("keepers-stop");
+        let site = LocalSite::start(&pool, &folder, &layout()).await.unwrap();
+        let callers = site.callers();
+        let bearer = site.bearers[0].clone();
+        let mut tasks = Vec::new();
+        for n in 0..60 {
+            let caller = callers[n % 3];
+            let bearer = bearer.clone();
+            tasks.push(pool.task(async move {
+                Timer::after(Duration::from_millis(50 * n as u64)).await;
+                let ask = Ask {
+                    entry: caller,
+                    bearer: &bearer,
+                    key: None,
+                    model: MODEL,
+                    prompt: &prompt(n),
+                    cap: CAP,
+                };
+                client::chat(&ask).await.outcome
+            }));
+        }
+        let mut leader = 0;
+        for n in 0..3 {
+            if site.status(n).await.unwrap().leads {
+                leader = n;
+            }
+        }
+        Timer::after(Duration::from_millis(400)).await;
+        site.keepers[leader].stop().await;
+        let mut sum = 0;
+        for task in tasks {
+            match task.await {
+                Outcome::Whole { tokens, .. } => sum += tokens,
+                other => panic!("{other:?}"),
+            }
+        }
+        // What the stopped keeper's share has billed and not posted comes later.
+        let other = (leader + 1) % 3;
+        assert!(settled(&site, other).await <= sum);
+    });
+}
