Send a replica's messages of one group together

Cause: with 256 clients the keepers committed fewer changes a second than with 16: each message between replicas took a stream of its own, and each commit told followers at once.

Change: what one group of inputs says to a replica goes in one message, in order.

--- a/crates/daemon/src/entry/front.rs
+++ b/crates/daemon/src/entry/front.rs
@@ -130,6 +130,24 @@
     }
 }
 
+/// Joins the answer of a request, or begins one; returns whether it's begun now.
+fn join_flow(
+    entry: &Entry,
+    member: &Member,
+    inbound: &Inbound,
+) -> Result<(Arc<Flow>, bool), CallerError> {
+    let (request, named) = identify(member, inbound.key.as_deref());
+    let digest = body_digest(&inbound.path, &inbound.body);
+    let now = entry.context.clock.now();
+    let begin = || Flow::new(request, digest, named, now);
+    let (flow, fresh) = entry.tables.flow(request, begin, now);
+    if flow.digest != digest {
+        return Err(CallerError::OtherBody);
+    }
+    flow.join();
+    Ok((flow, fresh))
+}
+
 async fn post_chat(
     entry: &Entry,
     member: Member,
@@ -150,16 +168,7 @@
         let reason = FieldReason::TooLarge(u64::from(model.context).saturating_sub(cap));
         return Err(CallerError::field("messages", reason));
     }
-    let (request, named) = identify(&member, inbound.key.as_deref());
-    let digest = body_digest(&inbound.path, &inbound.body);
-    let now = entry.context.clock.now();
-    let (flow, fresh) = entry
-        .tables
-        .flow(request, || Flow::new(request, digest, named, now), now);
-    if flow.digest != digest {
-        return Err(CallerError::OtherBody);
-    }
-    flow.join();
+    let (flow, fresh) = join_flow(entry, &member, &inbound)?;
     if fresh {
         let job = Job {
             flow: Arc::clone(&flow),
@@ -174,7 +183,7 @@
             prompt: Tokens(asked.prompt_bound()),
             counted: Tokens(counted),
             cap: Tokens(cap),
-            deadline: now + Span::millis(document.objective.whole_ms),
+            deadline: flow.begun + Span::millis(document.objective.whole_ms),
             repeatable: true,
         };
         start(entry, job);
@@ -320,16 +329,7 @@
     if !rule.repeatable && inbound.key.is_none() {
         return Err(CallerError::field("Idempotency-Key", FieldReason::Missing));
     }
-    let (request, named) = identify(&member, inbound.key.as_deref());
-    let digest = body_digest(&inbound.path, &inbound.body);
-    let now = entry.context.clock.now();
-    let (flow, fresh) = entry
-        .tables
-        .flow(request, || Flow::new(request, digest, named, now), now);
-    if flow.digest != digest {
-        return Err(CallerError::OtherBody);
-    }
-    flow.join();
+    let (flow, fresh) = join_flow(entry, &member, &inbound)?;
     if fresh {
         let job = Job {
             flow: Arc::clone(&flow),
@@ -345,14 +345,14 @@
             prompt: rule.price,
             counted: rule.price,
             cap: Tokens::ZERO,
-            deadline: now + Span::millis(item.timeout_ms),
+            deadline: flow.begun + Span::millis(item.timeout_ms),
             repeatable: rule.repeatable,
         };
         start(entry, job);
     }
     let end = wait_whole(entry, &member, &flow).await?;
     let mut response = reply(end.status, &end.media, flow.bytes());
-    response.insert_header("X-Request-Id", request.to_string());
+    response.insert_header("X-Request-Id", flow.request.to_string());
     response.insert_header("X-Ran", "finished");
     Ok(response)
 }
--- a/crates/daemon/src/keeper/core.rs
+++ b/crates/daemon/src/keeper/core.rs
@@ -19,6 +19,7 @@
 use base::Tokens;
 use consensus::Effects;
 use consensus::Entry;
+use consensus::Envelope;
 use consensus::Payload;
 use consensus::Replica;
 use consensus::Role;
@@ -151,6 +152,7 @@
     events: Vec<Event>,
     ready: Vec<Ready>,
     out: Vec<Output>,
+    letters: BTreeMap<KeeperId, Vec<Envelope>>,
     compacted: bool,
 }
 
@@ -224,6 +226,7 @@
             events: Vec::new(),
             ready: Vec::new(),
             out: Vec::new(),
+            letters: BTreeMap::new(),
             compacted: false,
         })
     }
@@ -242,6 +245,13 @@
 
     /// Returns what may go out once all is durable.
     pub fn take_outputs(&mut self) -> Vec<Output> {
+        // What one group of inputs says to a replica goes in one message.
+        for (to, envelopes) in std::mem::take(&mut self.letters) {
+            if let Some(&address) = self.peers.get(&to) {
+                let ask = Ask::Replica(envelopes);
+                self.out.push(Output::Tell(address, ask));
+            }
+        }
         std::mem::take(&mut self.out)
     }
 
@@ -387,10 +397,7 @@
     fn absorb(&mut self, effects: Effects) {
         self.writes.extend(effects.writes);
         for envelope in effects.sends {
-            if let Some(&address) = self.peers.get(&envelope.to) {
-                let ask = Ask::Replica(Box::new(envelope));
-                self.out.push(Output::Tell(address, ask));
-            }
+            self.letters.entry(envelope.to).or_default().push(envelope);
         }
         self.ready.extend(effects.install.map(Ready::Install));
         let applied = effects.applied.into_iter().map(Ready::Apply);
@@ -469,9 +476,11 @@
 
     fn on_ask(&mut self, ask: Ask, reply: Reply) {
         match ask {
-            Ask::Replica(envelope) => {
-                let effects = self.replica.receive(*envelope);
-                self.absorb(effects);
+            Ask::Replica(envelopes) => {
+                for envelope in envelopes {
+                    let effects = self.replica.receive(envelope);
+                    self.absorb(effects);
+                }
                 self.reply(reply, Answer::Done);
             }
             Ask::Announce(announce) => self.on_announce(announce, reply),
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -202,8 +202,8 @@
     Cancel(RequestId),
     /// A keeper forwards a command to the leader.
     Propose(Vec<u8>),
-    /// A replica's message.
-    Replica(Box<consensus::Envelope>),
+    /// A replica's messages, in order.
+    Replica(Vec<consensus::Envelope>),
     /// A keeper or entry asks for the document.
     Document(u64),
     /// An operator submits a document.
--- a/crates/mulberryctl/tests/failures.rs
+++ b/crates/mulberryctl/tests/failures.rs
@@ -522,3 +522,42 @@
         assert!(settled(&site, other).await <= sum);
     });
 }
+
+#[test]
+fn a_slow_caller_holds_up_nobody_and_gets_the_whole_answer() {
+    let pool = Pool::start(4);
+    block_on(async {
+        let site = site(&pool, "slow", &layout()).await;
+        let ask = Ask {
+            entry: site.callers()[0],
+            bearer: &site.bearers[0],
+            key: Some("slow"),
+            model: MODEL,
+            prompt: &prompt(5),
+            cap: CAP,
+        };
+        let response = client::open(&ask).await.unwrap();
+        // The request ends though its caller reads nothing.
+        let agents = || site.agents.iter().filter_map(|p| p.agent.as_ref());
+        let mut running = 1;
+        for _ in 0..ROUNDS {
+            running = agents().map(|agent| agent.tables().running()).sum();
+            if running == 0 {
+                break;
+            }
+            Timer::after(Duration::from_millis(50)).await;
+        }
+        assert_eq!(running, 0, "the engine is free");
+        for n in 10..14 {
+            until_whole(&site, 0, n, &format!("beside-{n}")).await;
+        }
+        let mut first = Duration::ZERO;
+        let mut gaps = Vec::new();
+        let begun = std::time::Instant::now();
+        let outcome = client::read(response, begun, &mut first, &mut gaps).await;
+        let Outcome::Whole { text, .. } = outcome else {
+            panic!("{outcome:?}");
+        };
+        assert_eq!(text, expected(5));
+    });
+}
