Publish the document's schema

Cause: operators' editors had nothing to check a document against before it's submitted.

Change: a JSON schema beside the document's types, printed by `mulberryctl schema`, and a test that it names just the members that a document holds.

The verifier stays the judge; the schema knows no rules between parts.

--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -8,6 +8,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+/// The schema of the document, as JSON Schema.
+pub const SCHEMA: &str = include_str!("document.schema.json");
+
 /// How urgent a team's requests are.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- a/crates/config/tests/documents.rs
+++ b/crates/config/tests/documents.rs
@@ -283,3 +283,37 @@
     let expected = vec![("endpoints.one.plan".to_owned(), last)];
     assert_eq!(reasons(&old, &new, &world), expected);
 }
+
+/// Checks that an object's members are those that its schema names.
+fn same_members(path: &str, value: &serde_json::Value, schema: &serde_json::Value) {
+    let Some(object) = value.as_object() else {
+        return;
+    };
+    if let Some(named) = schema["properties"].as_object() {
+        let found: Vec<&String> = object.keys().collect();
+        let known: Vec<&String> = named.keys().collect();
+        assert_eq!(found, known, "{path}");
+        for (name, item) in object {
+            same_members(&format!("{path}.{name}"), item, &named[name]);
+        }
+    } else {
+        for (name, item) in object {
+            let inner = &schema["additionalProperties"];
+            same_members(&format!("{path}.{name}"), item, inner);
+        }
+    }
+}
+
+#[test]
+fn the_schema_names_what_a_document_holds() {
+    let mut full = Document::default();
+    full.teams.insert("t".to_owned(), Team::default());
+    full.models.insert("m".to_owned(), Model::default());
+    full.routes.entry("r".to_owned()).or_default();
+    let service = full.services.entry("s".to_owned()).or_default();
+    service.calls.entry("c".to_owned()).or_default();
+    full.endpoints.entry("e".to_owned()).or_default();
+    let value = serde_json::from_str(&write::write(&full)).unwrap();
+    let schema = serde_json::from_str(config::document::SCHEMA).unwrap();
+    same_members("document", &value, &schema);
+}
--- a/crates/mulberryctl/src/command.rs
+++ b/crates/mulberryctl/src/command.rs
@@ -110,6 +110,16 @@
             Ok(())
         },
     },
+    Command {
+        name: "schema",
+        words: "",
+        help: "print the document's JSON schema",
+        options: |_| {},
+        run: |_| {
+            print!("{}", config::document::SCHEMA);
+            Ok(())
+        },
+    },
     Command {
         name: "submit",
         words: "FILE",
