Run both kinds of ledger histories by one function

Cause: the histories with true and with slow clocks repeated the same steps.

Change: one function runs a history in a site; nothing is checked less.

Measured: all 10 tests of the package pass; the histories take 1.6 s as before.

--- a/crates/ledger/tests/fuzz.rs
+++ b/crates/ledger/tests/fuzz.rs
@@ -44,8 +44,8 @@
     }
 }
 
-fn history_holds(steps: Vec<Step>) -> bool {
-    let mut site = Site::new(1);
+/// Runs a history in `site` and mends it; each check panics where it fails.
+fn holds_in(mut site: Site, steps: impl IntoIterator<Item = Step>) -> bool {
     for step in steps {
         site.step(step);
         site.check();
@@ -55,6 +55,10 @@
     true
 }
 
+fn history_holds(steps: Vec<Step>) -> bool {
+    holds_in(Site::new(1), steps)
+}
+
 #[test]
 fn random_histories_never_overspend_and_bill_once() {
     let histories = env::var("HISTORIES").map_or(HISTORIES, |n| n.parse().unwrap());
@@ -68,17 +72,8 @@
 
 // A clock beyond the stated drift costs nothing while agents keep their bars.
 fn slow_history_holds(steps: Vec<Step>) -> bool {
-    let mut site = Site::new(3);
-    for step in steps {
-        if matches!(step, Step::AgentDies(_)) {
-            continue;
-        }
-        site.step(step);
-        site.check();
-    }
-    site.mend();
-    site.check_settled();
-    true
+    let dies = |step: &Step| matches!(step, Step::AgentDies(_));
+    holds_in(Site::new(3), steps.into_iter().filter(|step| !dies(step)))
 }
 
 #[test]
