Name the host package for its job

Cause: the package crates/platform holds the worker pool, logs, metrics, signals and HTTP serving, and the adapter to the users' platform needs the name.

--- a/crates/caller/src/error.rs
+++ b/crates/caller/src/error.rs
@@ -1,8 +1,8 @@
 //! Typed errors that say whether the request ran.
 
+use host::http::BodyError;
+use host::http::reply;
 use http_types::Response;
-use platform::http::BodyError;
-use platform::http::reply;
 use request::NotRun;
 use serde::Serialize;
 use serde_json::json;
--- a/crates/caller/src/inbound.rs
+++ b/crates/caller/src/inbound.rs
@@ -1,9 +1,9 @@
 //! What a request says of its sender, key and body.
 
 use base::Digest;
+use host::http::read_body;
 use http_types::Method;
 use http_types::Request;
-use platform::http::read_body;
 
 use crate::error::CallerError;
 use crate::error::FieldReason;
--- a/crates/daemon/src/agent.rs
+++ b/crates/daemon/src/agent.rs
@@ -23,7 +23,7 @@
 use fleet::node::FrameSender;
 use fleet::wire::News;
 use fleet::wire::Open;
-use platform::Pool;
+use host::Pool;
 use routing::Announce;
 
 use self::tables::Tables;
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -31,10 +31,10 @@
 use fleet::Answer;
 use fleet::Ask;
 use fleet::Node;
-use platform::Health;
-use platform::Pool;
-use platform::http::Server;
-use platform::metrics::Metrics;
+use host::Health;
+use host::Pool;
+use host::http::Server;
+use host::metrics::Metrics;
 
 use self::budget::Budget;
 use self::meter::Meter;
--- a/crates/daemon/src/entry/front.rs
+++ b/crates/daemon/src/entry/front.rs
@@ -15,12 +15,12 @@
 use caller::chat;
 use caller::error::FieldReason;
 use config::Document;
+use host::http::BoxFuture;
+use host::http::Handler;
+use host::http::reply;
 use http_types::Method;
 use http_types::Request;
 use http_types::Response;
-use platform::http::BoxFuture;
-use platform::http::Handler;
-use platform::http::reply;
 use request::Final;
 use request::NotRun;
 use request::Work;
@@ -234,7 +234,7 @@
     let (sender, receiver) = async_channel::bounded(AHEAD);
     let pump = pump(entry.clone(), member, Arc::clone(flow), model, sender);
     entry.context.pool.spawn(pump);
-    let mut response = platform::http::stream("text/event-stream", receiver);
+    let mut response = host::http::stream("text/event-stream", receiver);
     response.insert_header("X-Request-Id", flow.request.to_string());
     Ok(response)
 }
--- a/crates/daemon/src/entry/meter.rs
+++ b/crates/daemon/src/entry/meter.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 
-use platform::metrics::Count;
-use platform::metrics::Level;
-use platform::metrics::Metrics;
+use host::metrics::Count;
+use host::metrics::Level;
+use host::metrics::Metrics;
 use serde::Deserialize;
 use serde::Serialize;
 
--- a/crates/daemon/src/entry/stream.rs
+++ b/crates/daemon/src/entry/stream.rs
@@ -9,7 +9,7 @@
 use fleet::Frames;
 use fleet::wire::Open;
 use futures_lite::FutureExt as _;
-use platform::stall::Stall;
+use host::stall::Stall;
 use request::Assembly;
 use request::Final;
 use request::Frame;
--- a/crates/daemon/src/keeper/driver.rs
+++ b/crates/daemon/src/keeper/driver.rs
@@ -23,7 +23,7 @@
 use fleet::Answer;
 use fleet::Ask;
 use fleet::Node;
-use platform::Pool;
+use host::Pool;
 use store::Options;
 use thiserror::Error;
 
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -14,12 +14,12 @@
 use fleet::Node;
 use fleet::Service;
 use fleet::node::BoxFuture;
+use host::Health;
+use host::Pool;
+use host::http::Server;
+use host::http::reply;
+use host::metrics::Metrics;
 use operator::Identities;
-use platform::Health;
-use platform::Pool;
-use platform::http::Server;
-use platform::http::reply;
-use platform::metrics::Metrics;
 use thiserror::Error;
 
 use crate::agent;
@@ -210,7 +210,7 @@
                 faults.set(i64::try_from(keeper.faults()).unwrap_or(i64::MAX));
             }
             let response = process.platform_page(request.url().path());
-            Box::pin(std::future::ready(response)) as platform::http::BoxFuture<_>
+            Box::pin(std::future::ready(response)) as host::http::BoxFuture<_>
         };
         let bound = Server::bind(pool, address, Arc::new(handler));
         bound.map_err(|source| StartError::Bind { address, source })?;
--- a/crates/engine/src/chat.rs
+++ b/crates/engine/src/chat.rs
@@ -5,9 +5,9 @@
 
 use futures_lite::AsyncBufReadExt as _;
 use futures_lite::FutureExt as _;
+use host::stall::Stall;
 use http_types::Body;
 use http_types::Method;
-use platform::stall::Stall;
 use serde::Deserialize;
 use serde::Serialize;
 
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -19,7 +19,7 @@
 use base::Map;
 use base::Span;
 use futures_lite::FutureExt as _;
-use platform::Pool;
+use host::Pool;
 use quinn::crypto::rustls::QuicClientConfig;
 use quinn::crypto::rustls::QuicServerConfig;
 use request::Frame;
--- a/crates/fleet/src/runtime.rs
+++ b/crates/fleet/src/runtime.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use platform::Pool;
+use host::Pool;
 use quinn::AsyncTimer;
 use quinn::AsyncUdpSocket;
 use quinn::Runtime;
--- a/crates/fleet/tests/keys.rs
+++ b/crates/fleet/tests/keys.rs
@@ -15,7 +15,7 @@
 use fleet::keys;
 use fleet::node::BoxFuture;
 use futures_lite::future::block_on;
-use platform::Pool;
+use host::Pool;
 
 const WAIT: Span = Span::secs(5);
 
--- a/crates/platform/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -1,4 +1,4 @@
-//! What the platform gives a process and asks of it.
+//! What a process needs of its host.
 //!
 //! - [`health`]: answers for the balancer.
 //! - [`http`]: serving HTTP with bounds on bodies, times and connections.
--- a/crates/mulberryctl/src/bench/config.rs
+++ b/crates/mulberryctl/src/bench/config.rs
@@ -20,7 +20,7 @@
 use fleet::wire::News;
 use fleet::wire::Watch;
 use futures_lite::future::block_on;
-use platform::Pool;
+use host::Pool;
 use serde_json::Value;
 use serde_json::json;
 
--- a/crates/mulberryctl/src/bench/path.rs
+++ b/crates/mulberryctl/src/bench/path.rs
@@ -13,7 +13,7 @@
 use futures_lite::AsyncBufReadExt as _;
 use futures_lite::future::block_on;
 use hdrhistogram::Histogram;
-use platform::Pool;
+use host::Pool;
 use serde_json::json;
 use standin::Pace;
 
--- a/crates/mulberryctl/src/command.rs
+++ b/crates/mulberryctl/src/command.rs
@@ -17,7 +17,7 @@
 use futures_lite::future;
 use getopts::Matches;
 use getopts::Options;
-use platform::Pool;
+use host::Pool;
 use standin::Desk;
 use standin::Engine;
 use standin::Faults;
@@ -350,7 +350,7 @@
         step: Duration::from_micros(number(matches, "step-us", 4_000)?),
         ..Pace::default()
     };
-    let stops = platform::signals::stops()?;
+    let stops = host::signals::stops()?;
     match word(matches, 0)? {
         "engine" => {
             let models: Vec<&str> = serves.split(',').collect();
--- a/crates/mulberryctl/src/demo.rs
+++ b/crates/mulberryctl/src/demo.rs
@@ -8,7 +8,7 @@
 use async_io::Timer;
 use eyre::Result;
 use eyre::ensure;
-use platform::Pool;
+use host::Pool;
 use serde::Serialize;
 
 use crate::client;
@@ -121,7 +121,7 @@
 }
 
 async fn stay(site: &LocalSite) -> Result<()> {
-    let stops = platform::signals::stops()?;
+    let stops = host::signals::stops()?;
     for address in site.callers() {
         println!("entry: http://{address}");
     }
--- a/crates/mulberryctl/src/operate.rs
+++ b/crates/mulberryctl/src/operate.rs
@@ -19,8 +19,8 @@
 use fleet::wire::News;
 use fleet::wire::Status;
 use fleet::wire::Verdict;
+use host::Pool;
 use ledger::TopUp;
-use platform::Pool;
 
 use crate::site::operator_node;
 
--- a/crates/mulberryctl/src/site.rs
+++ b/crates/mulberryctl/src/site.rs
@@ -36,7 +36,7 @@
 use fleet::node::BoxFuture;
 use fleet::wire::Status;
 use fleet::wire::Verdict;
-use platform::Pool;
+use host::Pool;
 use standin::Desk;
 use standin::Engine;
 use standin::Faults;
--- a/crates/mulberryctl/tests/documents.rs
+++ b/crates/mulberryctl/tests/documents.rs
@@ -13,11 +13,11 @@
 use daemon::keeper::site::Site;
 use fleet::wire::Verdict;
 use futures_lite::future::block_on;
+use host::Pool;
 use mulberryctl::site::Layout;
 use mulberryctl::site::LocalSite;
 use mulberryctl::site::document;
 use mulberryctl::site::team_name;
-use platform::Pool;
 use store::Options;
 
 const CHANGES: u64 = 1_000;
--- a/crates/mulberryctl/tests/failures.rs
+++ b/crates/mulberryctl/tests/failures.rs
@@ -9,6 +9,7 @@
 use base::TeamId;
 use futures_lite::AsyncReadExt as _;
 use futures_lite::future::block_on;
+use host::Pool;
 use mulberryctl::client;
 use mulberryctl::client::Ask;
 use mulberryctl::client::Outcome;
@@ -16,7 +17,6 @@
 use mulberryctl::site::LocalSite;
 use mulberryctl::site::MODEL;
 use mulberryctl::site::team_name;
-use platform::Pool;
 use standin::Faults;
 use standin::Pace;
 
--- a/crates/mulberryctl/tests/sessions.rs
+++ b/crates/mulberryctl/tests/sessions.rs
@@ -15,9 +15,9 @@
 
 use async_io::Timer;
 use futures_lite::future::block_on;
+use host::Pool;
 use mulberryctl::site::Layout;
 use mulberryctl::site::LocalSite;
-use platform::Pool;
 
 const ROUNDS: u32 = 200;
 
--- a/crates/mulberryd/src/main.rs
+++ b/crates/mulberryd/src/main.rs
@@ -8,7 +8,7 @@
 use daemon::Settings;
 use eyre::Result;
 use getopts::Options;
-use platform::Pool;
+use host::Pool;
 
 const USAGE: &str = "Usage: mulberryd [options] FILE
 
@@ -23,8 +23,8 @@
 }
 
 fn run(settings: &Settings) -> Result<()> {
-    let _logger = platform::logs::start(&settings.log)?;
-    let stops = platform::signals::stops()?;
+    let _logger = host::logs::start(&settings.log)?;
+    let stops = host::signals::stops()?;
     let pool = Pool::start(settings.threads);
     let process = Process::spawn(&pool, settings)?;
     log::info!("daemon: {} is up", settings.name);
--- a/crates/operator/src/api.rs
+++ b/crates/operator/src/api.rs
@@ -8,12 +8,12 @@
 use config::Fault;
 use config::read;
 use config::write;
+use host::http::Handler;
+use host::http::read_body;
+use host::http::reply;
 use http_types::Method;
 use http_types::Request;
 use http_types::Response;
-use platform::http::Handler;
-use platform::http::read_body;
-use platform::http::reply;
 use serde_json::Value;
 use serde_json::json;
 use thiserror::Error;
@@ -59,7 +59,7 @@
     Path,
     /// The body can't be read.
     #[error("{0}")]
-    Body(platform::http::BodyError),
+    Body(host::http::BodyError),
     /// The document has faults.
     #[error("the document has {} faults", .0.len())]
     Faulty(Vec<Fault>),
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -17,14 +17,14 @@
 use async_channel::Sender;
 use async_io::Timer;
 use base::Digest;
+use host::Pool;
+use host::http::Server;
+use host::http::read_body;
+use host::http::reply;
+use host::http::stream;
 use http_types::Method;
 use http_types::Request;
 use http_types::Response;
-use platform::Pool;
-use platform::http::Server;
-use platform::http::read_body;
-use platform::http::reply;
-use platform::http::stream;
 use serde::Deserialize;
 use serde_json::Value;
 use serde_json::json;
@@ -197,7 +197,7 @@
         let tasks = pool.clone();
         let handler = move |request| {
             let answer = answer(tasks.clone(), Arc::clone(&shared), request);
-            Box::pin(answer) as platform::http::BoxFuture<Response>
+            Box::pin(answer) as host::http::BoxFuture<Response>
         };
         let server = Server::bind(pool, address, Arc::new(handler))?;
         Ok(Self { server, inner })
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -10,11 +10,11 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use host::Pool;
+use host::http::Server;
+use host::http::read_body;
+use host::http::reply;
 use http_types::Response;
-use platform::Pool;
-use platform::http::Server;
-use platform::http::read_body;
-use platform::http::reply;
 use serde_json::json;
 
 /// Largest body of a call, in bytes.
@@ -70,7 +70,7 @@
                 let body = json!({ "done": true, "run": run });
                 reply(200, "application/json", body.to_string())
             };
-            Box::pin(answer) as platform::http::BoxFuture<Response>
+            Box::pin(answer) as host::http::BoxFuture<Response>
         };
         let server = Server::bind(pool, address, Arc::new(handler))?;
         Ok(Self { server, state })
