--- a/crates/base/src/hash.rs
+++ b/crates/base/src/hash.rs
@@ -13,3 +13,10 @@
 
 /// A hash set with the fast hasher.
 pub type Set<K> = HashSet<K, FxBuildHasher>;
+
+/// Returns the fast hasher, whose results are the same in all processes of one
+/// build.
+#[must_use]
+pub fn hasher() -> FxBuildHasher {
+    FxBuildHasher
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`patch`]: the difference between two documents.
 //! - [`read`]: from YAML or JSON.
 //! - [`register`]: acceptance by compare-and-set, as a replicated state.
+//! - [`site`]: the configuration of a site that forwards requests as they are.
 //! - [`tree`]: a walk through YAML or JSON that collects every fault.
 //! - [`write`]: the canonical form and its digest.
 
@@ -13,6 +14,7 @@
 pub mod patch;
 pub mod read;
 pub mod register;
+pub mod site;
 pub mod tree;
 pub mod write;
 
--- a/crates/daemon/src/keeper/core.rs
+++ b/crates/daemon/src/keeper/core.rs
@@ -540,7 +540,7 @@
                 self.change_members(change, Ask::Expel(number), reply);
             }
             Ask::Release(lease) => self.on_release(lease, reply),
-            Ask::Vouch(_) | Ask::Recall(..) | Ask::CallOff(..) | Ask::Cancel(_) => {
+            Ask::Mesh(_) | Ask::Vouch(_) | Ask::Recall(..) | Ask::CallOff(..) | Ask::Cancel(_) => {
                 self.reply(reply, Answer::Unsupported);
             }
         }
--- a/crates/fleet/src/keys.rs
+++ b/crates/fleet/src/keys.rs
@@ -16,9 +16,17 @@
 use rcgen::Issuer;
 use rcgen::KeyPair;
 use rcgen::KeyUsagePurpose;
+use rustls::DigitallySignedStruct;
 use rustls::RootCertStore;
+use rustls::SignatureScheme;
+use rustls::client::danger::HandshakeSignatureValid;
+use rustls::client::danger::ServerCertVerified;
+use rustls::client::danger::ServerCertVerifier;
+use rustls::crypto::CryptoProvider;
 use rustls::pki_types::CertificateDer;
 use rustls::pki_types::PrivateKeyDer;
+use rustls::pki_types::ServerName;
+use rustls::pki_types::UnixTime;
 use rustls::pki_types::pem::PemObject;
 use rustls::server::WebPkiClientVerifier;
 
@@ -33,7 +41,7 @@
 /// A process's keys.
 #[derive(Debug)]
 pub struct Keys {
-    roots: Arc<RootCertStore>,
+    roots: Option<Arc<RootCertStore>>,
     chain: Vec<CertificateDer<'static>>,
     key: PrivateKeyDer<'static>,
 }
@@ -41,7 +49,7 @@
 impl Clone for Keys {
     fn clone(&self) -> Self {
         Self {
-            roots: Arc::clone(&self.roots),
+            roots: self.roots.clone(),
             chain: self.chain.clone(),
             key: self.key.clone_key(),
         }
@@ -141,12 +149,32 @@
         let path = folder.join(format!("{name}.key"));
         let key = PrivateKeyDer::from_pem_file(&path).map_err(|e| fault(&path, &e))?;
         Ok(Self {
-            roots: Arc::new(roots),
+            roots: Some(Arc::new(roots)),
             chain,
             key,
         })
     }
 
+    /// Draws a key for this run alone, where the host gives processes no secret.
+    ///
+    /// Connections are encrypted, and peers are not authenticated: whoever reaches
+    /// the address is a peer.
+    ///
+    /// # Errors
+    ///
+    /// Fails where no certificate can be made.
+    pub fn ephemeral() -> Result<Self, FleetError> {
+        let path = Path::new("ephemeral");
+        let names = vec![FLEET_NAME.to_owned()];
+        let made = rcgen::generate_simple_self_signed(names).map_err(|e| fault(path, &e))?;
+        let key = PrivateKeyDer::try_from(made.signing_key.serialize_der());
+        Ok(Self {
+            roots: None,
+            chain: vec![made.cert.der().clone()],
+            key: key.map_err(|e| fault(path, &e))?,
+        })
+    }
+
     /// Returns the settings of connections that this process takes.
     ///
     /// # Errors
@@ -155,12 +183,15 @@
     pub fn server(&self) -> Result<rustls::ServerConfig, FleetError> {
         let path = Path::new("keys");
         let provider = Arc::new(rustls::crypto::ring::default_provider());
-        let verifier = WebPkiClientVerifier::builder_with_provider(
-            Arc::clone(&self.roots),
-            Arc::clone(&provider),
-        )
-        .build()
-        .map_err(|e| fault(path, &e))?;
+        let verifier = match &self.roots {
+            Some(roots) => {
+                let roots = Arc::clone(roots);
+                WebPkiClientVerifier::builder_with_provider(roots, Arc::clone(&provider))
+                    .build()
+                    .map_err(|e| fault(path, &e))?
+            }
+            None => WebPkiClientVerifier::no_client_auth(),
+        };
         rustls::ServerConfig::builder_with_provider(provider)
             .with_protocol_versions(&[&rustls::version::TLS13])
             .map_err(|e| fault(path, &e))?
@@ -177,11 +208,62 @@
     pub fn client(&self) -> Result<rustls::ClientConfig, FleetError> {
         let path = Path::new("keys");
         let provider = Arc::new(rustls::crypto::ring::default_provider());
-        rustls::ClientConfig::builder_with_provider(provider)
+        let builder = rustls::ClientConfig::builder_with_provider(Arc::clone(&provider))
             .with_protocol_versions(&[&rustls::version::TLS13])
-            .map_err(|e| fault(path, &e))?
-            .with_root_certificates(Arc::clone(&self.roots))
+            .map_err(|e| fault(path, &e))?;
+        let Some(roots) = &self.roots else {
+            let verifier = Arc::new(AnyPeer { provider });
+            let builder = builder.dangerous();
+            let builder = builder.with_custom_certificate_verifier(verifier);
+            return Ok(builder.with_no_client_auth());
+        };
+        builder
+            .with_root_certificates(Arc::clone(roots))
             .with_client_auth_cert(self.chain.clone(), self.key.clone_key())
             .map_err(|e| fault(path, &e))
     }
 }
+
+/// Accepts any peer's certificate; signatures are still checked.
+#[derive(Debug)]
+struct AnyPeer {
+    provider: Arc<CryptoProvider>,
+}
+
+impl ServerCertVerifier for AnyPeer {
+    fn verify_server_cert(
+        &self,
+        _end_entity: &CertificateDer<'_>,
+        _intermediates: &[CertificateDer<'_>],
+        _server_name: &ServerName<'_>,
+        _ocsp_response: &[u8],
+        _now: UnixTime,
+    ) -> Result<ServerCertVerified, rustls::Error> {
+        Ok(ServerCertVerified::assertion())
+    }
+
+    fn verify_tls12_signature(
+        &self,
+        message: &[u8],
+        cert: &CertificateDer<'_>,
+        signed: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, rustls::Error> {
+        let algorithms = &self.provider.signature_verification_algorithms;
+        rustls::crypto::verify_tls12_signature(message, cert, signed, algorithms)
+    }
+
+    fn verify_tls13_signature(
+        &self,
+        message: &[u8],
+        cert: &CertificateDer<'_>,
+        signed: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, rustls::Error> {
+        let algorithms = &self.provider.signature_verification_algorithms;
+        rustls::crypto::verify_tls13_signature(message, cert, signed, algorithms)
+    }
+
+    fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
+        let algorithms = &self.provider.signature_verification_algorithms;
+        algorithms.supported_schemes()
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`codec`]: length-prefixed messages on a stream.
 //! - [`error`]: what can go wrong on the way.
 //! - [`keys`]: the fleet's authority and the processes' certificates.
+//! - [`mesh`]: messages between processes that forward requests as they are.
 //! - [`node`]: one process's connections.
 //! - [`runtime`]: the transport's use of the worker pool.
 //! - [`wire`]: the messages.
@@ -10,6 +11,7 @@
 pub mod codec;
 pub mod error;
 pub mod keys;
+pub mod mesh;
 pub mod node;
 pub mod runtime;
 pub mod wire;
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -242,7 +242,22 @@
             let answer = codec::read(&mut receiver).await?;
             answer.ok_or_else(|| FleetError::Broken("no answer".to_owned()))
         };
-        exchange.or(timeout(patience.into())).await
+        let answer = exchange.or(timeout(patience.into())).await;
+        if matches!(answer, Err(FleetError::Timeout)) {
+            self.give_up(address).await;
+        }
+        answer
+    }
+
+    /// Drops the connection to a peer that didn't answer: a restarted peer doesn't
+    /// know it, and it would count as open until it had been idle for long.
+    async fn give_up(&self, address: SocketAddr) {
+        let peer = Arc::clone(self.peers().entry(address).or_default());
+        if let Some(mut link) = peer.link.try_lock()
+            && let Some(open) = link.open.take()
+        {
+            open.close(1_u32.into(), b"no answer");
+        }
     }
 
     /// Opens a stream of frames from the peer at `address`.
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -170,6 +170,8 @@
 /// A question or order to another process.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Ask {
+    /// A message between processes that forward requests as they are.
+    Mesh(crate::mesh::Ask),
     /// An agent announces itself.
     Announce(Announce),
     /// An entry asks what changed.
@@ -227,6 +229,8 @@
 /// The answer to an [`Ask`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Answer {
+    /// The answer to a message between processes that forward requests as they are.
+    Mesh(crate::mesh::Answer),
     /// Done; nothing to say.
     Done,
     /// The peer can't answer.
--- /dev/null
+++ b/crates/gateway/src/council.rs
@@ -0,0 +1,560 @@
+//! The thread that owns a replica of the log and its disk.
+//!
+//! What waits when the thread comes round is handled together and made durable by
+//! one sync; only then do answers and messages leave. A disk that fails takes the
+//! replica out of the group until the folder can be opened again; traffic goes on.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::mpsc;
+use std::sync::mpsc::RecvTimeoutError;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_channel::Sender;
+use base::KeeperId;
+use consensus::Change;
+use consensus::Effects;
+use consensus::Envelope;
+use consensus::Members;
+use consensus::Payload;
+use consensus::Replica;
+use consensus::Role;
+use consensus::Snapshot;
+use durable::DiskError;
+use durable::LogDisk;
+use fleet::mesh::Answer;
+use ledger::allowance::Demand;
+use store::Folder;
+use store::Options;
+use thiserror::Error;
+
+use crate::record::Command;
+use crate::record::Outcome;
+use crate::record::Record;
+
+/// Time between two ticks. An election then takes half a second to a second, which
+/// a machine that is slowed a few times still meets.
+const TICK: Duration = Duration::from_millis(40);
+
+/// Most inputs handled with one sync.
+const GROUP: usize = 256;
+
+/// Entries after which the log is replaced by a snapshot.
+const COMPACT: usize = 600;
+
+/// Bytes of a journal's segment: small disks hold a few of them.
+const SEGMENT: u64 = 2 << 20;
+
+/// Time between two attempts to open a folder whose disk failed.
+const REOPEN: Duration = Duration::from_millis(500);
+
+/// Where an answer goes.
+pub type Reply = Sender<Answer>;
+
+/// What the thread takes in.
+pub enum Input {
+    /// Forms the group with this replica alone.
+    Form,
+    /// Messages of other replicas.
+    Messages(Vec<Envelope>),
+    /// A configuration to accept, with the totals that it names.
+    Submit(u64, Vec<u8>, Vec<(String, u64)>, Reply),
+    /// Asks for the newest accepted configuration, for certain.
+    Read(Reply),
+    /// Demands of an entry under its lease.
+    Draw(u64, Vec<Demand>, Reply),
+    /// Adds a learner, and removes a member that it replaces.
+    Join(Joiner, Reply),
+    /// Hands leadership over and stops.
+    Stop(Sender<()>),
+}
+
+/// A replica that asks to become a learner.
+pub struct Joiner {
+    /// Its number.
+    pub id: KeeperId,
+    /// Its disk.
+    pub disk: u64,
+    /// Replicas whose disk is known to be lost.
+    pub lost: Vec<KeeperId>,
+    /// Replicas heard lately, where this process has run long enough to tell.
+    pub present: Option<Vec<KeeperId>>,
+}
+
+/// What the thread tells the process.
+pub enum Output {
+    /// Messages for other replicas.
+    Send(Envelope),
+    /// A configuration was accepted.
+    Accepted(u64, Vec<u8>),
+    /// Who leads, as far as this replica knows.
+    Leader(Option<KeeperId>),
+    /// Whether this replica belongs to the group.
+    Member(bool),
+}
+
+/// Takes what the thread tells the process.
+pub type OutputFn = Arc<dyn Fn(Output) + Send + Sync>;
+
+/// Why the thread can't go on.
+#[derive(Debug, Error)]
+pub enum CouncilError {
+    /// The disk failed.
+    #[error(transparent)]
+    Disk(#[from] DiskError),
+    /// The folder failed.
+    #[error(transparent)]
+    Store(#[from] store::StoreError),
+    /// An entry or a snapshot can't be read.
+    #[error("the replicated state can't be read: {0}")]
+    State(#[from] postcard::Error),
+}
+
+/// How a council is opened.
+#[derive(Clone)]
+pub struct Start {
+    /// The data folder.
+    pub folder: PathBuf,
+    /// Most bytes that the journal may take.
+    pub quota: u64,
+    /// Voters without which the first configuration isn't accepted.
+    pub quorum_size: usize,
+    /// Takes what the thread tells the process.
+    pub output: OutputFn,
+}
+
+/// A running council.
+#[derive(Clone)]
+pub struct Council {
+    inputs: mpsc::Sender<Input>,
+    id: KeeperId,
+    disk: u64,
+}
+
+/// Returns the number that belongs to a disk.
+fn number(disk: u64) -> KeeperId {
+    KeeperId(u32::try_from(disk & u64::from(u32::MAX)).unwrap_or(0))
+}
+
+impl Council {
+    /// Opens the data folder and starts the thread.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the folder can't be used.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the operating system starts no more threads.
+    pub fn open(start: Start) -> Result<Self, CouncilError> {
+        let opened = Open::read(&start)?;
+        let (inputs, queue) = mpsc::channel();
+        let council = Self {
+            inputs,
+            id: opened.replica.id(),
+            disk: opened.identity,
+        };
+        thread::Builder::new()
+            .name("council".to_owned())
+            .spawn(move || run(&start, opened, &queue))
+            .expect("the operating system starts a thread");
+        Ok(council)
+    }
+
+    /// Returns the replica's number.
+    #[must_use]
+    pub fn id(&self) -> KeeperId {
+        self.id
+    }
+
+    /// Returns the identity of the disk.
+    #[must_use]
+    pub fn disk(&self) -> u64 {
+        self.disk
+    }
+
+    /// Hands an input to the thread.
+    pub fn send(&self, input: Input) {
+        if self.inputs.send(input).is_err() {
+            log::error!("council: event=input_lost reason=stopped");
+        }
+    }
+}
+
+struct Open {
+    replica: Replica,
+    record: Record,
+    disk: LogDisk,
+    identity: u64,
+    _folder: Folder,
+}
+
+impl Open {
+    fn read(start: &Start) -> Result<Self, CouncilError> {
+        let folder = Folder::open(&start.folder, fastrand::u64(1..))?;
+        let identity = folder.identity();
+        let options = Options {
+            segment: SEGMENT,
+            quota: start.quota,
+            ..Options::default()
+        };
+        let path: &Path = &start.folder.join("log");
+        let (disk, found) = LogDisk::open(path, Members::default(), options)?;
+        let data = &found.log.snapshot().data;
+        let record = if data.is_empty() {
+            Record::default()
+        } else {
+            postcard::from_bytes(data)?
+        };
+        let seed = fastrand::u64(..);
+        let replica = Replica::new(number(identity), identity, found.saved, found.log, seed);
+        log::info!(
+            "council: event=open replica={} records={} last={}",
+            replica.id(),
+            found.replayed,
+            replica.log().last().index
+        );
+        Ok(Self {
+            replica,
+            record,
+            disk,
+            identity,
+            _folder: folder,
+        })
+    }
+}
+
+/// A proposal that waits to be applied.
+struct Pending {
+    term: u64,
+    reply: Reply,
+}
+
+struct Driver<'a> {
+    start: &'a Start,
+    open: Open,
+    effects: Effects,
+    pending: BTreeMap<u64, Pending>,
+    reads: BTreeMap<u64, Reply>,
+    ready: Vec<(Reply, Answer)>,
+    ticket: u64,
+    leader: Option<KeeperId>,
+    member: bool,
+    applied: u64,
+    stop: Option<Sender<()>>,
+    began: Instant,
+    base: u64,
+}
+
+/// Runs the thread until it's told to stop.
+fn run(start: &Start, open: Open, queue: &mpsc::Receiver<Input>) {
+    let mut next = Some(open);
+    loop {
+        let open = match next.take() {
+            Some(open) => open,
+            None => match Open::read(start) {
+                Ok(open) => open,
+                Err(error) => {
+                    log::warn!("council: event=reopen outcome=failed reason=\"{error}\"");
+                    thread::sleep(REOPEN);
+                    // Whoever asked learns that this replica can't answer.
+                    while queue.try_recv().is_ok() {}
+                    continue;
+                }
+            },
+        };
+        let mut driver = Driver::new(start, open);
+        match driver.serve(queue) {
+            Ok(()) => return,
+            Err(error) => {
+                (start.output)(Output::Leader(None));
+                log::error!("council: event=disk_failed reason=\"{error}\"");
+                thread::sleep(REOPEN);
+            }
+        }
+    }
+}
+
+impl<'a> Driver<'a> {
+    fn new(start: &'a Start, open: Open) -> Self {
+        let base = open.replica.log().last_at();
+        let applied = open.replica.log().snapshot().position.index;
+        Self {
+            start,
+            open,
+            effects: Effects::default(),
+            pending: BTreeMap::new(),
+            reads: BTreeMap::new(),
+            ready: Vec::new(),
+            ticket: 0,
+            leader: None,
+            member: false,
+            applied,
+            stop: None,
+            began: Instant::now(),
+            base,
+        }
+    }
+
+    fn serve(&mut self, queue: &mpsc::Receiver<Input>) -> Result<(), CouncilError> {
+        if self.open.record.version > 0 {
+            self.announce();
+        }
+        let mut due = Instant::now() + TICK;
+        loop {
+            let wait = due.saturating_duration_since(Instant::now());
+            let first = queue.recv_timeout(wait);
+            if matches!(first, Err(RecvTimeoutError::Disconnected)) {
+                return Ok(());
+            }
+            let mut input = first.ok();
+            let mut count = 0;
+            while let Some(found) = input {
+                self.handle(found);
+                count += 1;
+                input = (count < GROUP).then(|| queue.try_recv().ok()).flatten();
+            }
+            if Instant::now() >= due {
+                // After a pause the missed ticks are skipped: nobody was heard in it.
+                due = Instant::now() + TICK;
+                let at = self.base + millis(self.began.elapsed());
+                let effects = self.open.replica.tick(at);
+                self.gather(effects);
+            }
+            self.flush()?;
+            if let Some(done) = self.stop.take() {
+                // Whoever waits for the stop may have gone.
+                let _ = done.try_send(());
+                return Ok(());
+            }
+        }
+    }
+
+    fn gather(&mut self, more: Effects) {
+        self.effects.writes.extend(more.writes);
+        self.effects.sends.extend(more.sends);
+        self.effects.applied.extend(more.applied);
+        self.effects.reads.extend(more.reads);
+        self.effects.failed.extend(more.failed);
+        if more.install.is_some() {
+            self.effects.install = more.install;
+        }
+    }
+
+    fn handle(&mut self, input: Input) {
+        match input {
+            Input::Form => self.form(),
+            Input::Messages(envelopes) => {
+                for envelope in envelopes {
+                    let effects = self.open.replica.receive(envelope);
+                    self.gather(effects);
+                }
+            }
+            Input::Submit(version, body, budgets, reply) => {
+                let voters = self.open.replica.members().voters.len();
+                if self.open.record.version == 0 && voters < self.start.quorum_size {
+                    self.ready.push((reply, Answer::Unsure));
+                    return;
+                }
+                let command = Command::Accept {
+                    version,
+                    body,
+                    budgets,
+                };
+                self.propose(&command, reply);
+            }
+            Input::Draw(lease, demands, reply) => {
+                self.propose(&Command::Draw { lease, demands }, reply);
+            }
+            Input::Read(reply) => {
+                self.ticket += 1;
+                self.reads.insert(self.ticket, reply);
+                let effects = self.open.replica.read(self.ticket);
+                self.gather(effects);
+            }
+            Input::Join(joiner, reply) => self.join(&joiner, reply),
+            Input::Stop(done) => {
+                let effects = self.open.replica.hand_over();
+                self.gather(effects);
+                self.stop = Some(done);
+            }
+        }
+    }
+
+    fn form(&mut self) {
+        let replica = &self.open.replica;
+        if !replica.fresh() || !replica.members().voters.is_empty() {
+            return;
+        }
+        let id = replica.id();
+        let snapshot = Snapshot {
+            members: Members::unformed(&[id]),
+            ..Snapshot::default()
+        };
+        let log = consensus::log::Log::new(snapshot, Vec::new());
+        let seed = fastrand::u64(..);
+        self.open.replica = Replica::new(id, self.open.identity, replica.saved(), log, seed);
+        log::info!("council: event=form replica={id}");
+    }
+
+    fn propose(&mut self, command: &Command, reply: Reply) {
+        let bytes = match postcard::to_stdvec(command) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                log::error!("council: event=encode outcome=failed reason=\"{error}\"");
+                self.ready.push((reply, Answer::Unsure));
+                return;
+            }
+        };
+        match self.open.replica.propose(bytes) {
+            Ok((position, effects)) => {
+                self.gather(effects);
+                let term = position.term;
+                self.pending.insert(position.index, Pending { term, reply });
+            }
+            Err(_) => self.ready.push((reply, Answer::Unsure)),
+        }
+    }
+
+    fn join(&mut self, joiner: &Joiner, reply: Reply) {
+        let replica = &self.open.replica;
+        let members = replica.members();
+        if members.disk(joiner.id).is_some() {
+            self.ready.push((reply, Answer::Done));
+            return;
+        }
+        let absent = |id: KeeperId| {
+            let present = joiner.present.as_ref();
+            joiner.lost.contains(&id) || present.is_some_and(|list| !list.contains(&id))
+        };
+        let gone = members.others(replica.id()).find(|&id| absent(id));
+        let change = gone.map_or(Change::Add(joiner.id, joiner.disk), Change::Remove);
+        match self.open.replica.change(change) {
+            Ok((position, effects)) => {
+                log::info!(
+                    "council: event=members change={change:?} index={}",
+                    position.index
+                );
+                self.gather(effects);
+            }
+            Err(error) => log::debug!("council: event=join replica={} outcome={error}", joiner.id),
+        }
+        // The joiner asks again until it's a member.
+        self.ready.push((reply, Answer::Unsure));
+    }
+
+    /// Makes writes durable, applies what is committed and lets answers leave.
+    fn flush(&mut self) -> Result<(), CouncilError> {
+        while !self.effects.is_empty() {
+            let effects = std::mem::take(&mut self.effects);
+            if !effects.writes.is_empty() {
+                self.open.disk.write(&effects.writes)?;
+            }
+            for envelope in effects.sends {
+                (self.start.output)(Output::Send(envelope));
+            }
+            if let Some(snapshot) = effects.install {
+                self.open.record = postcard::from_bytes(&snapshot.data)?;
+                self.applied = snapshot.position.index;
+                self.announce();
+            }
+            for entry in effects.applied {
+                self.applied = entry.position.index;
+                if let Payload::Data(bytes) = &entry.payload {
+                    let command: Command = postcard::from_bytes(bytes)?;
+                    let before = self.open.record.version;
+                    let outcome = self.open.record.apply(command, entry.at);
+                    if self.open.record.version > before {
+                        self.announce();
+                    }
+                    self.settle(entry.position.index, entry.position.term, outcome);
+                }
+            }
+            for (ticket, _) in effects.reads {
+                if let Some(reply) = self.reads.remove(&ticket) {
+                    let record = &self.open.record;
+                    let answer = Answer::Config(record.version, record.body.clone());
+                    self.ready.push((reply, answer));
+                }
+            }
+            for ticket in effects.failed {
+                if let Some(reply) = self.reads.remove(&ticket) {
+                    self.ready.push((reply, Answer::Unsure));
+                }
+            }
+            self.compact()?;
+        }
+        for (reply, answer) in self.ready.drain(..) {
+            // Whoever asked may have gone.
+            let _ = reply.try_send(answer);
+        }
+        self.tell();
+        Ok(())
+    }
+
+    fn settle(&mut self, index: u64, term: u64, outcome: Outcome) {
+        let Some(pending) = self.pending.remove(&index) else {
+            return;
+        };
+        let answer = match outcome {
+            _ if pending.term != term => Answer::Unsure,
+            Outcome::Accepted(version) => Answer::Version(version),
+            Outcome::Granted(granted) => Answer::Granted(granted),
+        };
+        self.ready.push((pending.reply, answer));
+    }
+
+    fn compact(&mut self) -> Result<(), CouncilError> {
+        if self.open.replica.log().len() < COMPACT {
+            return Ok(());
+        }
+        let state = postcard::to_stdvec(&self.open.record)?;
+        // The snapshot's write is the checkpoint itself.
+        let _ = self.open.replica.compact(self.applied, state);
+        self.open.disk.checkpoint(&self.open.replica)?;
+        Ok(())
+    }
+
+    fn announce(&self) {
+        let record = &self.open.record;
+        (self.start.output)(Output::Accepted(record.version, record.body.clone()));
+    }
+
+    /// Tells the process who leads and whether this replica is a member.
+    fn tell(&mut self) {
+        let replica = &self.open.replica;
+        let leader = match replica.role() {
+            Role::Leader => Some(replica.id()),
+            _ => replica.leader(),
+        };
+        if leader != self.leader {
+            log::info!(
+                "council: event=leader leader={leader:?} term={} applied={}",
+                replica.term(),
+                self.applied
+            );
+            self.leader = leader;
+            if leader != Some(replica.id()) {
+                let lost = std::mem::take(&mut self.pending);
+                for pending in lost.into_values() {
+                    // Its outcome isn't known here any more.
+                    let _ = pending.reply.try_send(Answer::Unsure);
+                }
+            }
+            (self.start.output)(Output::Leader(leader));
+        }
+        let member = replica.members().disk(replica.id()).is_some();
+        if member != self.member {
+            self.member = member;
+            (self.start.output)(Output::Member(member));
+        }
+    }
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,25 @@
+//! The role that forwards requests as they are.
+//!
+//! - [`conn`]: a TCP connection with what was read of it.
+//! - [`control`]: what engines, operators and the balancer ask.
+//! - [`council`]: the thread that owns a replica of the log and its disk.
+//! - [`front`]: callers' connections.
+//! - [`links`]: idle connections to engines.
+//! - [`mesh`]: news between processes and questions to the leader.
+//! - [`process`]: a whole process.
+//! - [`record`]: the replicated state.
+//! - [`relay`]: one request's way.
+//! - [`state`]: what a process knows.
+
+pub mod conn;
+pub mod control;
+pub mod council;
+pub mod front;
+pub mod links;
+pub mod mesh;
+pub mod process;
+pub mod record;
+pub mod relay;
+pub mod state;
+
+pub use crate::process::Gateway;
--- /dev/null
+++ b/crates/gateway/src/mesh.rs
@@ -0,0 +1,580 @@
+//! News between processes, and questions to the group's leader.
+//!
+//! Every process tells every other what it knows, regularly and at once where
+//! something changed. What an engine said goes from the process that heard it to
+//! all others; processes with a disk pass it on, so that two that can't reach each
+//! other still learn it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_io::Timer;
+use base::KeeperId;
+use base::Map;
+use base::Span;
+use base::Time;
+use consensus::Envelope;
+use fleet::mesh::Answer;
+use fleet::mesh::Ask;
+use fleet::mesh::Heard;
+use fleet::mesh::Member;
+use fleet::mesh::Update;
+use futures_lite::FutureExt as _;
+use ledger::Purses;
+use routing::directory::News;
+
+use crate::council::Council;
+use crate::council::Input;
+use crate::council::Joiner;
+use crate::state::PEER_GONE;
+use crate::state::Peer;
+use crate::state::Shared;
+
+/// Time between two updates to a peer.
+const EVERY: Duration = Duration::from_millis(200);
+
+/// Least time between two updates, so that news that come together leave together.
+const GATHER: Duration = Duration::from_millis(8);
+
+/// Longest wait for a peer's answer to an update.
+const UPDATE_WAIT: Span = Span::millis(600);
+
+/// Longest wait for a peer to take messages of the log.
+const REPLICA_WAIT: Span = Span::millis(400);
+
+/// Longest wait for one answer of the leader.
+const LEADER_WAIT: Span = Span::millis(500);
+
+/// Pause before the leader is asked once more.
+const LEADER_PAUSE: Duration = Duration::from_millis(40);
+
+/// Time between two looks whether grants are needed.
+const DRAW_EVERY: Duration = Duration::from_millis(250);
+
+/// Least time between two draws.
+const DRAW_GAP: Duration = Duration::from_millis(15);
+
+/// Silence after which a peer is forgotten.
+const FORGET: Span = Span::millis(15_000);
+
+/// Silence after which a replica may be replaced by one that joins.
+const REPLACE: Span = Span::millis(6_000);
+
+/// Time between two requests to join the group.
+const JOIN_EVERY: Duration = Duration::from_millis(300);
+
+/// Time after the start in which a process without word from the group doesn't
+/// serve with a configuration that it has from elsewhere.
+const CONFIRM: Span = Span::millis(1_500);
+
+/// Time that the arbiter waits for processes with a disk before it names the
+/// founder.
+const NAME_AFTER: Span = Span::millis(400);
+
+/// Most other members named in an update.
+const NAMED: usize = 24;
+
+fn version(shared: &Shared) -> u64 {
+    let state = shared.state();
+    state.table.as_ref().map_or(0, |table| table.site().version)
+}
+
+/// Answers a peer.
+pub async fn answer(shared: Arc<Shared>, ask: Ask) -> Answer {
+    match ask {
+        Ask::Update(update) => {
+            take_update(&shared, *update);
+            Answer::Version(version(&shared))
+        }
+        Ask::Replica(envelopes) => match &shared.council {
+            Some(council) => {
+                council.send(Input::Messages(envelopes));
+                Answer::Done
+            }
+            None => Answer::Unsure,
+        },
+        Ask::Known => {
+            let state = shared.state();
+            let version = state.table.as_ref().map_or(0, |table| table.site().version);
+            Answer::Config(version, state.body.to_vec())
+        }
+        Ask::Join(..) | Ask::Submit(..) | Ask::Read | Ask::Draw(..) => {
+            let leader = shared.state().leader;
+            match &shared.council {
+                Some(council) if leader == Some(shared.own.address) => {
+                    decide(&shared, council, ask).await
+                }
+                _ => Answer::Elsewhere(leader),
+            }
+        }
+    }
+}
+
+/// Asks the replica here, which leads.
+async fn decide(shared: &Shared, council: &Council, ask: Ask) -> Answer {
+    let (reply, answer) = async_channel::bounded(1);
+    let input = match ask {
+        Ask::Submit(version, body) => {
+            let Ok(site) = platform::site::read(&body) else {
+                return Answer::Unsure;
+            };
+            let teams = site.teams.into_iter().flatten();
+            let budgets = teams.filter_map(|team| Some((team.name, team.budget?)));
+            Input::Submit(version, body, budgets.collect(), reply)
+        }
+        Ask::Read => Input::Read(reply),
+        Ask::Draw(lease, demands) => Input::Draw(lease, demands, reply),
+        Ask::Join(id, disk, _) => Input::Join(joiner(shared, id, disk), reply),
+        Ask::Update(_) | Ask::Replica(_) | Ask::Known => return Answer::Unsure,
+    };
+    council.send(input);
+    let late = async {
+        Timer::after(LEADER_WAIT.into()).await;
+        Answer::Unsure
+    };
+    let decided = async { answer.recv().await.unwrap_or(Answer::Unsure) };
+    decided.or(late).await
+}
+
+fn joiner(shared: &Shared, id: KeeperId, disk: u64) -> Joiner {
+    let now = shared.now();
+    let state = shared.state();
+    let heard = state
+        .peers
+        .values()
+        .filter(|peer| peer.heard.until(now) < REPLACE);
+    let present: Vec<KeeperId> = heard.filter_map(|peer| peer.member.keeper).collect();
+    Joiner {
+        id,
+        disk,
+        lost: state.lost.clone(),
+        present: (Span(now.0) > REPLACE).then_some(present),
+    }
+}
+
+/// Asks the leader, again where it can't be reached, for at most `patience`.
+pub async fn lead(shared: &Shared, ask: &Ask, patience: Span) -> Answer {
+    let until = shared.now() + patience;
+    let mut hint = None;
+    loop {
+        let leader = hint.take().or(shared.state().leader);
+        let answer = match (leader, &shared.council) {
+            (Some(address), Some(council)) if address == shared.own.address => {
+                decide(shared, council, ask.clone()).await
+            }
+            (Some(address), _) => {
+                let wait = LEADER_WAIT.min(shared.now().until(until));
+                peer(shared, address, ask.clone(), wait)
+                    .await
+                    .unwrap_or(Answer::Unsure)
+            }
+            (None, _) => Answer::Elsewhere(None),
+        };
+        match answer {
+            Answer::Elsewhere(found) => hint = found.filter(|_| leader != found),
+            Answer::Unsure => {}
+            decided => return decided,
+        }
+        if shared.now() + Span::millis(60) >= until {
+            return Answer::Unsure;
+        }
+        Timer::after(LEADER_PAUSE).await;
+    }
+}
+
+/// Asks one peer.
+async fn peer(shared: &Shared, address: SocketAddr, ask: Ask, wait: Span) -> Option<Answer> {
+    let node = shared.node.get()?;
+    match node.ask(address, fleet::Ask::Mesh(ask), wait).await {
+        Ok(fleet::Answer::Mesh(answer)) => Some(answer),
+        Ok(_) => None,
+        Err(error) => {
+            log::debug!("mesh: event=ask peer={address} outcome=failed reason=\"{error}\"");
+            None
+        }
+    }
+}
+
+/// Takes in what a member says of itself, or another says of it.
+fn meet(shared: &Shared, member: &Member, direct: bool, now: Time) {
+    if member.address == shared.own.address {
+        return;
+    }
+    let mut state = shared.state();
+    let state = &mut *state;
+    let known = state.peers.get(&member.address);
+    let replaced = known.is_none_or(|peer| peer.member.run != member.run);
+    if replaced && !direct && known.is_some_and(|peer| peer.heard.until(now) < PEER_GONE) {
+        // Only a process itself says that it has started again.
+        return;
+    }
+    if replaced {
+        if let Some(old) = state.peers.remove(&member.address) {
+            for places in state.places.values_mut() {
+                places.forget(old.member.run);
+            }
+            if let Some(keeper) = old.member.keeper
+                && old.member.disk != member.disk
+            {
+                state.lost.push(keeper);
+            }
+        }
+        log::info!(
+            "mesh: event=met peer={} domain={} keeper={:?} direct={direct}",
+            member.address,
+            member.domain,
+            member.keeper
+        );
+        state.peers.insert(
+            member.address,
+            Peer {
+                member: member.clone(),
+                heard: now,
+                direct: None,
+                version: 0,
+                serving: false,
+                pending: Vec::new(),
+                greeted: false,
+            },
+        );
+    }
+    if direct && let Some(peer) = state.peers.get_mut(&member.address) {
+        peer.heard = now;
+        peer.direct = Some(now);
+        peer.member = member.clone();
+    }
+}
+
+fn take_update(shared: &Arc<Shared>, update: Update) {
+    let now = shared.now();
+    meet(shared, &update.from, true, now);
+    for member in &update.members {
+        meet(shared, member, false, now);
+    }
+    let mut changed = false;
+    let mut state = shared.state();
+    for heard in update.heard {
+        let id = heard.said.id.clone();
+        let at = Time(now.0.saturating_sub(Span::millis(heard.age_ms).0));
+        let phase = heard.said.phase;
+        let news = state.directory.announce(heard.said, at);
+        if news == News::Changed {
+            changed = true;
+            if shared.council.is_some() {
+                state.spread(&id);
+            }
+            log::info!(
+                "engine: event=learned engine={id} phase={phase:?} from={} age_ms={}",
+                update.from.address,
+                heard.age_ms
+            );
+        }
+    }
+    if changed {
+        state.place_engines(&shared.settings, now);
+    }
+    for places in state.places.values_mut() {
+        places.report(update.from.run, &update.loads);
+        for sent in &update.sent {
+            places.learn(sent.engine, &sent.parts, now);
+        }
+    }
+    if let Some(peer) = state.peers.get_mut(&update.from.address) {
+        peer.version = update.version;
+        peer.serving = update.serving && !update.leaving;
+    }
+    let own = shared.council.is_some() && state.joined;
+    if !own && update.leader.is_some() {
+        state.leader = update.leader;
+    }
+    if update.founder.is_some() && state.founder.is_none() {
+        state.founder = update.founder;
+    }
+    let known = state.table.as_ref().map_or(0, |table| table.site().version);
+    drop(state);
+    if update.version > known {
+        let shared = Arc::clone(shared);
+        let pool = shared.pool.clone();
+        pool.spawn(async move { pull(&shared, update.from.address).await });
+    }
+    if changed && shared.council.is_some() {
+        shared.news.notify(usize::MAX);
+    }
+}
+
+/// Fetches the configuration that a peer has in force.
+async fn pull(shared: &Shared, address: SocketAddr) {
+    if let Some(Answer::Config(version, body)) =
+        peer(shared, address, Ask::Known, UPDATE_WAIT).await
+    {
+        shared.accept(version, body);
+    }
+}
+
+/// Builds the update for a peer and the announcements that it carries.
+fn update_for(shared: &Shared, address: SocketAddr, now: Time) -> (Update, Vec<String>) {
+    let mut state = shared.state();
+    let state = &mut *state;
+    let mut ids = Vec::new();
+    if let Some(peer) = state.peers.get_mut(&address) {
+        ids = std::mem::take(&mut peer.pending);
+        if !peer.greeted {
+            peer.greeted = true;
+            ids = state
+                .directory
+                .iter()
+                .map(|engine| engine.said.id.clone())
+                .collect();
+        }
+    }
+    let heard = ids.iter().filter_map(|id| state.directory.get(id));
+    let heard = heard.map(|engine| Heard {
+        said: engine.said.clone(),
+        age_ms: engine.heard.until(now).as_millis(),
+    });
+    let heard = heard.collect();
+    let near = state.peers.values().filter(|peer| {
+        peer.direct.is_some_and(|at| at.until(now) < PEER_GONE) && peer.member.address != address
+    });
+    let members = near.take(NAMED).map(|peer| peer.member.clone()).collect();
+    let loads = state
+        .places
+        .values()
+        .flat_map(|places| places.own())
+        .collect();
+    let update = Update {
+        from: shared.own.clone(),
+        members,
+        heard,
+        loads,
+        sent: state.sent.clone(),
+        version: state.table.as_ref().map_or(0, |table| table.site().version),
+        leader: state.leader,
+        founder: state.founder,
+        serving: shared.health.serving(),
+        leaving: shared.health.stopping(),
+    };
+    (update, ids)
+}
+
+/// Returns where a process with this control address takes messages.
+fn mesh_address(shared: &Shared, control: std::net::SocketAddrV4) -> SocketAddr {
+    SocketAddr::from((*control.ip(), shared.settings.ports.0))
+}
+
+fn targets(shared: &Shared) -> Vec<SocketAddr> {
+    let state = shared.state();
+    let seeds = state.seeds.iter().map(|&seed| mesh_address(shared, seed));
+    let mut list: Vec<SocketAddr> = state.peers.keys().copied().chain(seeds).collect();
+    list.sort();
+    list.dedup();
+    list.retain(|&address| address != shared.own.address);
+    list
+}
+
+/// Tells all peers the news, for as long as the process runs.
+pub async fn tell(shared: Arc<Shared>) {
+    loop {
+        let listener = shared.news.listen();
+        let now = shared.now();
+        name_founder(&shared, now);
+        for address in targets(&shared) {
+            let (update, ids) = update_for(&shared, address, now);
+            let shared = Arc::clone(&shared);
+            let pool = shared.pool.clone();
+            pool.spawn(async move { tell_one(&shared, address, update, ids).await });
+        }
+        sweep(&shared, now);
+        let tick = async {
+            Timer::after(EVERY).await;
+        };
+        listener.or(tick).await;
+        Timer::after(GATHER).await;
+    }
+}
+
+async fn tell_one(shared: &Shared, address: SocketAddr, update: Update, ids: Vec<String>) {
+    let version = update.version;
+    let ask = Ask::Update(Box::new(update));
+    match peer(shared, address, ask, UPDATE_WAIT).await {
+        Some(Answer::Version(theirs)) => {
+            if theirs > version {
+                pull(shared, address).await;
+            }
+        }
+        _ => {
+            let mut state = shared.state();
+            if let Some(peer) = state.peers.get_mut(&address) {
+                // What was not taken in goes with the next update.
+                for id in ids {
+                    if !peer.pending.contains(&id) {
+                        peer.pending.push(id);
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Drops what is over.
+fn sweep(shared: &Shared, now: Time) {
+    let mut state = shared.state();
+    let state = &mut *state;
+    state.sent.clear();
+    state.links.sweep(now);
+    state.directory.expire(now);
+    state.place_engines(&shared.settings, now);
+    let gone: Vec<SocketAddr> = state
+        .peers
+        .iter()
+        .filter(|(_, peer)| peer.heard.until(now) > FORGET)
+        .map(|(&address, _)| address)
+        .collect();
+    for peer in state.peers.values() {
+        if peer.heard.until(now) > PEER_GONE {
+            for places in state.places.values_mut() {
+                places.forget(peer.member.run);
+            }
+        }
+    }
+    for address in gone {
+        state.peers.remove(&address);
+        log::warn!("mesh: event=forgot peer={address}");
+    }
+    let confirmed = state.confirmed || Span(now.0) > CONFIRM;
+    if confirmed && !state.confirmed && state.table.is_some() {
+        log::warn!("config: event=unconfirmed outcome=serving reason=\"no word from the group\"");
+        state.confirmed = true;
+    }
+    shared
+        .health
+        .set_ready(state.confirmed && state.table.is_some());
+}
+
+/// At the first start, the process at the lowest seed names the replica that forms
+/// the group: all processes are given the same seeds then.
+fn name_founder(shared: &Shared, now: Time) {
+    if !shared.settings.first_start {
+        return;
+    }
+    let mut state = shared.state();
+    let arbiter = state
+        .seeds
+        .iter()
+        .min()
+        .map(|&seed| mesh_address(shared, seed));
+    if state.founder.is_none() && arbiter == Some(shared.own.address) {
+        let founding = state.peers.values().filter(|peer| peer.member.founding);
+        let other = founding.filter_map(|peer| peer.member.keeper).min();
+        let named = shared
+            .own
+            .keeper
+            .or(other.filter(|_| Span(now.0) > NAME_AFTER));
+        if let Some(founder) = named {
+            log::info!("council: event=founder replica={founder}");
+            state.founder = named;
+        }
+    }
+    let chosen = state.founder.is_some() && state.founder == shared.own.keeper;
+    if chosen
+        && !state.joined
+        && let Some(council) = &shared.council
+    {
+        council.send(Input::Form);
+    }
+}
+
+/// Sends messages of the log, those for one replica together.
+pub async fn carry(shared: Arc<Shared>, envelopes: Receiver<Envelope>) {
+    while let Ok(first) = envelopes.recv().await {
+        let mut batches: Map<KeeperId, Vec<Envelope>> = Map::default();
+        batches.entry(first.to).or_default().push(first);
+        while let Ok(more) = envelopes.try_recv() {
+            batches.entry(more.to).or_default().push(more);
+        }
+        for (keeper, batch) in batches {
+            let address = {
+                let state = shared.state();
+                let mut peers = state.peers.values();
+                let found = peers.find(|peer| peer.member.keeper == Some(keeper));
+                found.map(|peer| peer.member.address)
+            };
+            if let Some(address) = address {
+                let shared = Arc::clone(&shared);
+                let pool = shared.pool.clone();
+                pool.spawn(async move {
+                    // What is lost is sent again by the log's own protocol.
+                    let _ = peer(&shared, address, Ask::Replica(batch), REPLICA_WAIT).await;
+                });
+            }
+        }
+    }
+}
+
+/// Asks to join the group until the replica here belongs to it.
+pub async fn join(shared: Arc<Shared>) {
+    let Some(council) = &shared.council else {
+        return;
+    };
+    loop {
+        Timer::after(JOIN_EVERY).await;
+        let (joined, leader) = {
+            let state = shared.state();
+            (state.joined, state.leader)
+        };
+        if joined || leader.is_none() {
+            continue;
+        }
+        let ask = Ask::Join(council.id(), council.disk(), shared.own.address);
+        // The answer says nothing that membership itself doesn't.
+        let _ = lead(&shared, &ask, LEADER_WAIT).await;
+    }
+}
+
+/// Asks for the newest configuration until the group has confirmed it.
+pub async fn confirm(shared: Arc<Shared>) {
+    while !shared.state().confirmed {
+        if let Answer::Config(version, body) = lead(&shared, &Ask::Read, LEADER_WAIT).await
+            && shared.accept(version, body)
+        {
+            shared.state().confirmed = true;
+            log::info!("config: event=confirmed version={version}");
+            return;
+        }
+        Timer::after(LEADER_PAUSE).await;
+    }
+}
+
+/// Draws grants as requests need them.
+pub async fn draw(shared: Arc<Shared>) {
+    loop {
+        let listener = shared.demand.listen();
+        let now = shared.now();
+        let (lease, demands) = {
+            let mut state = shared.state();
+            (state.purses.lease(), state.purses.demands(now))
+        };
+        if !demands.is_empty() {
+            let ask = Ask::Draw(lease, demands);
+            match lead(&shared, &ask, LEADER_WAIT).await {
+                Answer::Granted(Some(granted)) => {
+                    shared.state().purses.granted(lease, &granted);
+                }
+                Answer::Granted(None) => {
+                    let fresh = fastrand::u64(1..);
+                    log::warn!("budget: event=lease_closed lease={lease:x} next={fresh:x}");
+                    shared.state().purses = Purses::new(fresh);
+                }
+                _ => log::info!("budget: event=draw lease={lease:x} outcome=unsure"),
+            }
+            shared.granted.notify(usize::MAX);
+            Timer::after(DRAW_GAP).await;
+        }
+        let tick = async {
+            Timer::after(DRAW_EVERY).await;
+        };
+        listener.or(tick).await;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/process.rs
@@ -0,0 +1,272 @@
+//! A process that forwards requests as they are.
+
+use std::io;
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_io::Timer;
+use base::Span;
+use base::time::Clock;
+use consensus::Envelope;
+use fleet::FleetError;
+use fleet::Keys;
+use fleet::Node;
+use fleet::Service;
+use fleet::mesh::Member;
+use fleet::node::BoxFuture;
+use host::Pool;
+use platform::settings::NodeSettings;
+use thiserror::Error;
+
+use crate::control;
+use crate::council::Council;
+use crate::council::CouncilError;
+use crate::council::Input;
+use crate::council::Output;
+use crate::council::Start;
+use crate::front;
+use crate::mesh;
+use crate::state::Shared;
+
+/// Part of the disk that the journal may take; a checkpoint needs the rest.
+const QUOTA_PART: u64 = 2;
+
+/// Messages of the log that may wait to be sent.
+const WAITING: usize = 4_096;
+
+/// Time kept between the last work and the end of the grace period.
+const STOP_MARGIN: Duration = Duration::from_millis(500);
+
+/// Time in which messages that hand over leadership leave.
+const HAND_OVER: Duration = Duration::from_millis(120);
+
+/// Time between two looks at the settings file.
+const SETTINGS_LOOK: Duration = Duration::from_secs(2);
+
+/// Why a process can't start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// The transport can't be used.
+    #[error(transparent)]
+    Fleet(#[from] FleetError),
+    /// The data folder can't be used.
+    #[error(transparent)]
+    Council(#[from] CouncilError),
+    /// An address can't be bound.
+    #[error("{address} can't be bound: {source}")]
+    Bind {
+        /// The address.
+        address: SocketAddrV4,
+        /// The cause.
+        source: io::Error,
+    },
+}
+
+/// A running process.
+#[derive(Clone)]
+pub struct Gateway {
+    shared: Arc<Shared>,
+}
+
+impl Gateway {
+    /// Starts the process of `settings` on `pool`.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the data folder, the transport or an address can't be used.
+    pub fn spawn(pool: &Pool, settings: NodeSettings) -> Result<Self, StartError> {
+        let clock = Clock::start();
+        let address = SocketAddr::from((settings.ip, settings.ports.0));
+        let (outputs, taken) = async_channel::unbounded();
+        let (sender, envelopes) = async_channel::bounded(WAITING);
+        let council = match &settings.data {
+            Some(folder) => {
+                let start = Start {
+                    folder: folder.clone(),
+                    quota: (settings.limits.disk_mb << 20) / QUOTA_PART,
+                    quorum_size: 2 * settings.tolerated.instances + 1,
+                    output: Arc::new(move |output| {
+                        let lost = match output {
+                            Output::Send(envelope) => sender.try_send(envelope).is_err(),
+                            other => outputs.try_send(other).is_err(),
+                        };
+                        if lost {
+                            // The log's own protocol sends messages again.
+                            log::debug!("council: event=output outcome=lost");
+                        }
+                    }),
+                };
+                Some(Council::open(start)?)
+            }
+            None => None,
+        };
+        let own = Member {
+            run: fastrand::u64(1..),
+            address,
+            keeper: council.as_ref().map(Council::id),
+            disk: council.as_ref().map_or(0, Council::disk),
+            domain: settings.domain.clone(),
+            founding: settings.first_start && council.is_some(),
+        };
+        log::info!(
+            "gateway: event=start name={} domain={} address={address} keeper={:?} first_start={} seeds={:?}",
+            settings.name,
+            settings.domain,
+            own.keeper,
+            settings.first_start,
+            settings.seeds
+        );
+        let shared = Arc::new(Shared::new(settings, pool, own, council, clock));
+        let node = Node::bind(pool, address, &Keys::ephemeral()?, service(&shared))?;
+        // Set once, right after the start.
+        let _ = shared.node.set(node);
+        let gateway = Self { shared };
+        gateway.bind()?;
+        gateway.run(taken, envelopes);
+        Ok(gateway)
+    }
+
+    fn bind(&self) -> Result<(), StartError> {
+        let listen = &self.shared.settings.listen;
+        let bound = |address, result: io::Result<()>| {
+            result.map_err(|source| StartError::Bind { address, source })
+        };
+        if let Some(address) = listen.callers {
+            bound(address, front::bind(&self.shared, address))?;
+        }
+        for address in [listen.ready, listen.control].into_iter().flatten() {
+            bound(address, control::bind(&self.shared, address))?;
+        }
+        Ok(())
+    }
+
+    fn run(
+        &self,
+        outputs: async_channel::Receiver<Output>,
+        envelopes: async_channel::Receiver<Envelope>,
+    ) {
+        let pool = &self.shared.pool;
+        pool.spawn(take_outputs(Arc::clone(&self.shared), outputs));
+        pool.spawn(mesh::carry(Arc::clone(&self.shared), envelopes));
+        pool.spawn(mesh::tell(Arc::clone(&self.shared)));
+        pool.spawn(mesh::join(Arc::clone(&self.shared)));
+        pool.spawn(mesh::confirm(Arc::clone(&self.shared)));
+        pool.spawn(mesh::draw(Arc::clone(&self.shared)));
+        pool.spawn(watch_settings(Arc::clone(&self.shared)));
+    }
+
+    /// Reads the settings again; only the seeds can change while a process runs.
+    pub fn reload(&self) {
+        reload(&self.shared);
+    }
+
+    /// Stops as planned: the balancer first, then callers, then the replica.
+    pub async fn stop(&self) {
+        let shared = &self.shared;
+        shared.stop();
+        let grace = Duration::from_secs_f64(shared.settings.bounds.grace_s.max(1.0));
+        let end = shared.now() + span(grace.saturating_sub(STOP_MARGIN));
+        let least = shared.now() + front::STOP_IDLE + Span::millis(600);
+        loop {
+            let now = shared.now();
+            let busy = shared.busy.load(Ordering::Relaxed);
+            if now >= end || (now >= least && busy == 0) {
+                log::info!("gateway: event=drained busy={busy}");
+                break;
+            }
+            Timer::after(Duration::from_millis(50)).await;
+        }
+        if let Some(council) = &shared.council {
+            let (done, stopped) = async_channel::bounded(1);
+            council.send(Input::Stop(done));
+            // The channel is closed where the replica has failed before.
+            let _ = stopped.recv().await;
+            Timer::after(HAND_OVER).await;
+        }
+        if let Some(node) = shared.node.get() {
+            node.close();
+        }
+    }
+}
+
+fn span(duration: Duration) -> Span {
+    Span(u64::try_from(duration.as_micros()).unwrap_or(u64::MAX))
+}
+
+fn service(shared: &Arc<Shared>) -> Service {
+    let shared = Arc::clone(shared);
+    Service {
+        ask: Arc::new(move |_, ask| {
+            let shared = Arc::clone(&shared);
+            Box::pin(async move {
+                match ask {
+                    fleet::Ask::Mesh(ask) => fleet::Answer::Mesh(mesh::answer(shared, ask).await),
+                    _ => fleet::Answer::Unsupported,
+                }
+            }) as BoxFuture<fleet::Answer>
+        }),
+        open: Arc::new(|_, _| Box::pin(std::future::ready(())) as BoxFuture<()>),
+    }
+}
+
+/// Takes in what the replica's thread tells.
+async fn take_outputs(shared: Arc<Shared>, outputs: async_channel::Receiver<Output>) {
+    while let Ok(output) = outputs.recv().await {
+        match output {
+            Output::Send(_) => {}
+            Output::Accepted(version, body) => {
+                shared.accept(version, body);
+            }
+            Output::Leader(leader) => {
+                let mut state = shared.state();
+                let own = leader.is_some() && leader == shared.own.keeper;
+                let mut peers = state.peers.values();
+                let found = peers.find(|peer| leader.is_some() && peer.member.keeper == leader);
+                let address = found.map(|peer| peer.member.address);
+                state.leader = if own {
+                    Some(shared.own.address)
+                } else {
+                    address
+                };
+                drop(state);
+                shared.news.notify(usize::MAX);
+            }
+            Output::Member(joined) => {
+                log::info!("council: event=member joined={joined}");
+                shared.state().joined = joined;
+            }
+        }
+    }
+}
+
+fn reload(shared: &Shared) {
+    match NodeSettings::open() {
+        Ok(settings) => {
+            let mut state = shared.state();
+            if state.seeds != settings.seeds {
+                log::info!("gateway: event=reload seeds={:?}", settings.seeds);
+                state.seeds = settings.seeds;
+            }
+        }
+        Err(error) => log::warn!("gateway: event=reload outcome=failed reason=\"{error}\""),
+    }
+}
+
+async fn watch_settings(shared: Arc<Shared>) {
+    let stamp = || {
+        let meta = std::fs::metadata(NodeSettings::path());
+        meta.and_then(|meta| meta.modified()).ok()
+    };
+    let mut known = stamp();
+    loop {
+        Timer::after(SETTINGS_LOOK).await;
+        let found = stamp();
+        if found != known {
+            known = found;
+            reload(&shared);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/record.rs
@@ -0,0 +1,73 @@
+//! The replicated state: the accepted configuration and the teams' allowances.
+
+use ledger::Allowances;
+use ledger::allowance::Demand;
+use ledger::allowance::Granted;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A change of the state, as an entry of the log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Command {
+    /// Accepts a configuration where its number is higher than the present one.
+    Accept {
+        /// Its number.
+        version: u64,
+        /// The configuration as it was sent.
+        body: Vec<u8>,
+        /// Totals of the teams that it names.
+        budgets: Vec<(String, u64)>,
+    },
+    /// Grants an entry tokens.
+    Draw {
+        /// The entry's lease.
+        lease: u64,
+        /// What it asks for.
+        demands: Vec<Demand>,
+    },
+}
+
+/// What a command did.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// This configuration number is now the highest.
+    Accepted(u64),
+    /// What was granted, or `None` where the lease was closed.
+    Granted(Option<Vec<Granted>>),
+}
+
+/// The replicated state.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// The configuration's number; zero where there is none.
+    pub version: u64,
+    /// The configuration as it was sent.
+    pub body: Vec<u8>,
+    /// The teams' allowances.
+    pub allowances: Allowances,
+}
+
+impl Record {
+    /// Carries out a command at log time `at`, in milliseconds.
+    pub fn apply(&mut self, command: Command, at: u64) -> Outcome {
+        match command {
+            Command::Accept {
+                version,
+                body,
+                budgets,
+            } => {
+                if version > self.version {
+                    self.version = version;
+                    self.body = body;
+                    for (team, total) in budgets {
+                        self.allowances.set_total(&team, total);
+                    }
+                }
+                Outcome::Accepted(self.version)
+            }
+            Command::Draw { lease, demands } => {
+                Outcome::Granted(self.allowances.draw(lease, &demands, at))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,856 @@
+//! One request's way: admitted, charged, placed, sent, relayed, settled.
+
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_io::Timer;
+use base::Span;
+use base::Time;
+use config::site::Repeat;
+use config::site::Route;
+use config::site::Table;
+use futures_lite::FutureExt as _;
+use http::Body;
+use http::RequestHead;
+use http::ResponseHead;
+use http::event;
+use http::write::chunk;
+use http::write::last_chunk;
+use ledger::purse::Short;
+use platform::call;
+use platform::call::Outgoing;
+use platform::call::Verdict;
+use routing::Call;
+use routing::admission;
+use routing::directory::Announcement;
+use routing::placement::Choice;
+use routing::placement::Full;
+use routing::placement::Load;
+use routing::placement::Wish;
+
+use crate::conn::Conn;
+use crate::links;
+use crate::state::Shared;
+
+/// Longest head of an engine's response, in bytes.
+const MAX_HEAD: usize = 64 << 10;
+
+/// Largest answer that is held until it's whole, in bytes. Larger ones are passed on
+/// as they arrive.
+const MAX_HELD: usize = 512 << 10;
+
+/// Patience of a caller who names none.
+const DEFAULT_PATIENCE: Span = Span::millis(30_000);
+
+/// Longest wait for a grant: a commit takes some ten milliseconds, an election about
+/// a second.
+const GRANT_WAIT: Duration = Duration::from_millis(350);
+
+/// Engines that are tried for one request before it's refused, where none ran it.
+const MOST_TRIES: usize = 3;
+
+/// Events that may be on their way when a stream is cut, counted as delivered.
+const IN_FLIGHT: u64 = 2;
+
+/// Part of the time left after which a request without an answer is sent to another
+/// endpoint, where it may be repeated.
+const STALL_PART: f64 = 0.45;
+
+/// A request that has been read.
+pub struct Request {
+    /// Its head.
+    pub head: RequestHead,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// What it says of itself.
+    pub call: Call,
+    /// When its head was read.
+    pub arrived: Time,
+    /// Whether the connection closes after the answer.
+    pub close: bool,
+}
+
+/// How a request ended, for its caller's connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// A whole answer was sent; the connection can go on.
+    Answered,
+    /// The connection must be closed without looking complete.
+    Cut,
+}
+
+/// Why a request isn't answered by an engine.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Refuse {
+    /// No configuration is known.
+    Unconfigured,
+    /// No route matches.
+    NoRoute,
+    /// No team holds the key.
+    NoKey,
+    /// The team's total doesn't cover the request at its most.
+    Budget,
+    /// No grant came in time.
+    Grant,
+    /// No engine could start it in time.
+    Busy(f64),
+    /// No engine is known.
+    Nowhere,
+    /// No engine ran it.
+    NotRun,
+    /// An engine may have run it and didn't answer.
+    Unknown,
+    /// The time was over before an engine answered.
+    Late { sent: bool },
+}
+
+impl Refuse {
+    fn status(self) -> u16 {
+        match self {
+            Self::NoRoute => 404,
+            Self::NoKey => 401,
+            Self::Budget => 402,
+            Self::Unconfigured
+            | Self::Grant
+            | Self::Busy(_)
+            | Self::Nowhere
+            | Self::NotRun
+            | Self::Late { sent: false } => 503,
+            Self::Unknown => 502,
+            Self::Late { sent: true } => 504,
+        }
+    }
+
+    fn reason(self) -> &'static str {
+        match self {
+            Self::Unconfigured => {
+                "no configuration is in force here yet; the request did not run\n"
+            }
+            Self::NoRoute => "no such route\n",
+            Self::NoKey => "unknown key\n",
+            Self::Budget => "the team's budget does not cover the request\n",
+            Self::Grant => "the team's budget can't be reached; the request did not run\n",
+            Self::Busy(_) => "all endpoints are busy; the request did not run\n",
+            Self::Nowhere => "no endpoint is available; the request did not run\n",
+            Self::NotRun => "the endpoints had no room; the request did not run\n",
+            Self::Unknown => "the endpoint failed; whether the request ran is unknown\n",
+            Self::Late { sent: false } => "the time is over; the request did not run\n",
+            Self::Late { sent: true } => "the time is over; whether the request ran is unknown\n",
+        }
+    }
+
+    /// Returns when room is expected, in milliseconds.
+    fn room_ms(self) -> Option<f64> {
+        match self {
+            Self::Busy(ms) => Some(ms),
+            Self::Unconfigured | Self::Nowhere | Self::Grant => Some(400.0),
+            Self::NotRun => Some(300.0),
+            _ => None,
+        }
+    }
+}
+
+/// A charge against a team's budget, settled when dropped.
+struct Charge<'a> {
+    shared: &'a Shared,
+    lease: u64,
+    team: String,
+    most: u64,
+    used: u64,
+}
+
+impl Drop for Charge<'_> {
+    fn drop(&mut self) {
+        let unused = self.most.saturating_sub(self.used);
+        let mut state = self.shared.state();
+        state.purses.refund(self.lease, &self.team, unused);
+    }
+}
+
+/// A request at an engine, taken off its load when dropped.
+struct Flight<'a> {
+    shared: &'a Shared,
+    service: &'a str,
+    choice: Choice,
+    load: Load,
+    failed: bool,
+}
+
+impl Flight<'_> {
+    /// Notes the first bytes of the answer.
+    fn started(&mut self, took: Span) {
+        let mut state = self.shared.state();
+        if let Some(places) = state.places.get_mut(self.service)
+            && self.load.reading > 0
+        {
+            #[allow(clippy::cast_precision_loss)]
+            let took_ms = took.0 as f64 / 1e3;
+            self.load = places.started(&self.choice, took_ms);
+        }
+    }
+}
+
+impl Drop for Flight<'_> {
+    fn drop(&mut self) {
+        let mut state = self.shared.state();
+        if let Some(places) = state.places.get_mut(self.service) {
+            places.ended(self.choice.engine, self.load, self.failed);
+        }
+    }
+}
+
+/// What came of one send.
+enum Sent {
+    /// The caller has the whole answer.
+    Done,
+    /// The caller's connection must be closed.
+    Cut,
+    /// The engine didn't run the request.
+    NotRun,
+    /// The engine couldn't be reached: nothing was sent.
+    Unreached,
+    /// The engine failed; it may have run the request. The caller has nothing yet,
+    /// or only whole events.
+    Failed,
+    /// The engine answered with a failure of its own, which is kept.
+    Refused(ResponseHead, Vec<u8>),
+    /// No answer came; where it may be repeated, another engine is tried.
+    Stalled,
+}
+
+/// One request on its way.
+struct Way<'a> {
+    shared: &'a Shared,
+    request: &'a Request,
+    route: &'a Route,
+    service: &'a str,
+    team: Option<&'a str>,
+    urgency: u8,
+    stride: u64,
+    deadline: Time,
+    /// Whether the head of an answer was sent to the caller.
+    begun: bool,
+    /// The last event that the caller has.
+    last_event: Option<String>,
+    events: u64,
+    tried: Vec<u64>,
+    ran: u32,
+    first: Option<Time>,
+    /// The charge, where the team's tokens are prepaid.
+    charge: Option<Charge<'a>>,
+    /// How long the engine keeps the connection, where it can be used again.
+    reuse: Option<Option<u64>>,
+}
+
+/// Answers `request` on its caller's connection.
+pub async fn answer(shared: &Arc<Shared>, request: &Request, caller: &mut Conn) -> End {
+    shared.busy.fetch_add(1, Ordering::Relaxed);
+    let mut ahead = Vec::new();
+    let end = {
+        let conn = &*caller;
+        let work = async { Some(drive(shared, request, conn).await) };
+        let gone = async {
+            conn.closed(&mut ahead).await;
+            None
+        };
+        gone.or(work).await
+    };
+    caller.buf.extend_from_slice(&ahead);
+    shared.busy.fetch_sub(1, Ordering::Relaxed);
+    let id = request.call.id.as_deref().unwrap_or("-");
+    let took = request.arrived.until(shared.now()).as_millis();
+    end.unwrap_or_else(|| {
+        log::info!("request: id={id} event=end outcome=caller_left ms={took}");
+        End::Cut
+    })
+}
+
+async fn drive(shared: &Shared, request: &Request, caller: &Conn) -> End {
+    let table = shared.state().table.clone();
+    let outcome = match &table {
+        None => Err(Refuse::Unconfigured),
+        Some(table) => admit(shared, table, request, caller).await,
+    };
+    let refuse = match outcome {
+        Ok(end) => return end,
+        Err(refuse) => refuse,
+    };
+    let now = shared.now();
+    let spent = request.arrived.until(now).as_millis();
+    let left = request
+        .call
+        .patience_ms
+        .unwrap_or(1_000)
+        .saturating_sub(spent);
+    let after = refuse
+        .room_ms()
+        .map(|room| admission::retry_after_ms(room, left));
+    let id = request.call.id.as_deref();
+    log::info!(
+        "request: id={} event=end outcome=refused status={} reason=\"{}\" cause={refuse:?} ms={spent} left_ms={left} after_ms={}",
+        id.unwrap_or("-"),
+        refuse.status(),
+        refuse.reason().trim_end(),
+        after.unwrap_or(0)
+    );
+    let mut out = Vec::with_capacity(256);
+    let refusal = call::Refusal {
+        status: refuse.status(),
+        reason: refuse.reason(),
+        id,
+        after_ms: after,
+        close: request.close,
+    };
+    call::write_refusal(&mut out, &refusal);
+    match caller.write(&out).await {
+        Ok(()) => End::Answered,
+        Err(_) => End::Cut,
+    }
+}
+
+async fn admit(
+    shared: &Shared,
+    table: &Table,
+    request: &Request,
+    caller: &Conn,
+) -> Result<End, Refuse> {
+    let head = &request.head;
+    let route = table
+        .route(head.host(), head.path())
+        .ok_or(Refuse::NoRoute)?;
+    let team = match &request.call.key {
+        _ if route.open || !table.keyed() => None,
+        Some(key) => Some(table.team(key).ok_or(Refuse::NoKey)?),
+        None => return Err(Refuse::NoKey),
+    };
+    let service = route.target(fastrand::u64(..)).ok_or(Refuse::Nowhere)?;
+    let patience = request
+        .call
+        .patience_ms
+        .map_or(DEFAULT_PATIENCE, Span::millis);
+    let limit = Span::millis(route.timeout_ms).min(patience);
+    let deadline = request.arrived + limit;
+    let backend = table.service(service).and_then(|s| s.backend.as_ref());
+    let mut way = Way {
+        shared,
+        request,
+        route,
+        service,
+        team: team.map(|team| team.name.as_str()),
+        urgency: team.and_then(|team| team.urgency).unwrap_or(route.urgency),
+        stride: backend.map_or(1, |backend| u64::from(backend.stride)),
+        deadline,
+        begun: false,
+        last_event: request.call.last_event.clone(),
+        events: 0,
+        tried: Vec::new(),
+        ran: 0,
+        first: None,
+        charge: None,
+        reuse: None,
+    };
+    let paid = team.filter(|team| team.budget.is_some() && request.call.most() > 0);
+    if let Some(team) = paid {
+        way.charge = Some(way.take_charge(&team.name).await?);
+    }
+    way.run(caller).await
+}
+
+impl<'a> Way<'a> {
+    fn left(&self) -> Span {
+        self.shared.now().until(self.deadline)
+    }
+
+    /// Charges the request at its most; waits for a grant where the purse is short.
+    async fn take_charge(&self, team: &str) -> Result<Charge<'a>, Refuse> {
+        let most = self.request.call.most();
+        let give_up =
+            self.shared.now() + Span::millis(u64::try_from(GRANT_WAIT.as_millis()).unwrap_or(0));
+        loop {
+            let listener = self.shared.granted.listen();
+            let now = self.shared.now();
+            let charged = {
+                let mut state = self.shared.state();
+                let charged = state.purses.charge(team, most, now);
+                charged.map(|()| state.purses.lease())
+            };
+            match charged {
+                Ok(lease) => {
+                    return Ok(Charge {
+                        shared: self.shared,
+                        lease,
+                        team: team.to_owned(),
+                        most,
+                        used: 0,
+                    });
+                }
+                Err(Short::Exhausted) => return Err(Refuse::Budget),
+                Err(Short::Ungranted) => {}
+            }
+            if now >= give_up || now >= self.deadline {
+                return Err(Refuse::Grant);
+            }
+            self.shared.demand.notify(1);
+            let late = async {
+                Timer::after(now.until(give_up).into()).await;
+            };
+            let granted = async { listener.await };
+            granted.or(late).await;
+        }
+    }
+
+    /// Sends the request to engines until it's answered or must be refused.
+    async fn run(&mut self, caller: &Conn) -> Result<End, Refuse> {
+        let mut kept = None;
+        self.note_first();
+        loop {
+            let again = !self.tried.is_empty();
+            if again && !self.may_repeat() {
+                return self.give_up(kept, caller).await;
+            }
+            let placed = self.place();
+            let (choice, engine) = match placed {
+                Ok(placed) => placed,
+                Err(full) if !again => return Err(full),
+                Err(_) => return self.give_up(kept, caller).await,
+            };
+            self.tried.push(choice.engine);
+            let outcome = self.send(&choice, &engine, caller).await;
+            if !matches!(outcome, Sent::NotRun | Sent::Unreached) {
+                self.ran += 1;
+            }
+            self.note_use(false);
+            let id = self.request.call.id.as_deref().unwrap_or("-");
+            match outcome {
+                Sent::Done => {
+                    self.log_done(&engine);
+                    return Ok(End::Answered);
+                }
+                Sent::Cut => {
+                    let took = self.request.arrived.until(self.shared.now()).as_millis();
+                    log::info!(
+                        "request: id={id} event=end outcome=cut engine={} events={} ms={took}",
+                        engine.id,
+                        self.events
+                    );
+                    return Ok(End::Cut);
+                }
+                Sent::NotRun => {
+                    log::info!(
+                        "request: id={id} event=try outcome=not_run engine={}",
+                        engine.id
+                    );
+                }
+                Sent::Unreached => {
+                    log::info!(
+                        "request: id={id} event=try outcome=unreached engine={}",
+                        engine.id
+                    );
+                }
+                Sent::Failed | Sent::Stalled => {
+                    log::info!(
+                        "request: id={id} event=try outcome=failed engine={} events={} left_ms={}",
+                        engine.id,
+                        self.events,
+                        self.left().as_millis()
+                    );
+                    if !self.may_run_again() {
+                        return self.give_up(kept, caller).await;
+                    }
+                }
+                Sent::Refused(head, body) => {
+                    log::info!(
+                        "request: id={id} event=try outcome=error engine={} status={}",
+                        engine.id,
+                        head.status
+                    );
+                    kept = Some((head, body));
+                    if !self.may_run_again() {
+                        return self.give_up(kept, caller).await;
+                    }
+                }
+            }
+        }
+    }
+
+    fn log_done(&self, engine: &Announcement) {
+        let now = self.shared.now();
+        let took = self.request.arrived.until(now).as_millis();
+        let first = self
+            .first
+            .map_or(took, |at| self.request.arrived.until(at).as_millis());
+        log::info!(
+            "request: id={} event=end outcome=answered route={} engine={} tries={} events={} first_ms={first} ms={took}",
+            self.request.call.id.as_deref().unwrap_or("-"),
+            self.route.name,
+            engine.id,
+            self.tried.len(),
+            self.events
+        );
+    }
+
+    /// Brings the charge in line with what the request has used so far.
+    ///
+    /// Kept current while it runs: a caller that leaves ends everything at once.
+    fn note_use(&mut self, running: bool) {
+        let (ran, events) = (self.ran > 0 || running, self.events + IN_FLIGHT);
+        if let Some(charge) = &mut self.charge {
+            let call = &self.request.call;
+            let output = (events * self.stride).min(call.answer);
+            charge.used = if ran { call.prompt + output } else { 0 };
+        }
+    }
+
+    fn note_first(&self) {
+        let now = self.shared.now();
+        self.shared.state().repeats.request(self.service, now);
+    }
+
+    /// Returns whether the request may run on a further engine.
+    fn may_run_again(&self) -> bool {
+        self.ran < self.route.attempts
+            && match self.route.repeat {
+                Repeat::Free => !self.begun,
+                Repeat::Resume => !self.begun || self.last_event.is_some(),
+                Repeat::Never => false,
+            }
+    }
+
+    /// Returns whether the shared budget lets the request be sent once more.
+    fn may_repeat(&self) -> bool {
+        let now = self.shared.now();
+        if self.tried.len() >= MOST_TRIES || now >= self.deadline {
+            return false;
+        }
+        let mut state = self.shared.state();
+        let entries = state.entries(now);
+        state.repeats.repeat(self.service, entries, now)
+    }
+
+    /// Ends a request that no engine will answer any more.
+    async fn give_up(
+        &mut self,
+        kept: Option<(ResponseHead, Vec<u8>)>,
+        caller: &Conn,
+    ) -> Result<End, Refuse> {
+        if self.begun {
+            return Ok(End::Cut);
+        }
+        if let Some((head, body)) = kept {
+            return Ok(self.pass(&head, &body, caller).await);
+        }
+        if self.ran == 0 {
+            return Err(Refuse::NotRun);
+        }
+        if self.left() == Span(0) {
+            return Err(Refuse::Late { sent: true });
+        }
+        Err(Refuse::Unknown)
+    }
+
+    fn place(&self) -> Result<(Choice, Announcement), Refuse> {
+        let now = self.shared.now();
+        let call = &self.request.call;
+        let left = now.until(self.deadline).as_millis();
+        if left == 0 {
+            return Err(Refuse::Late { sent: false });
+        }
+        let wish = Wish {
+            prompt: call.prompt,
+            answer: call.answer,
+            parts: &call.parts,
+            within_ms: admission::within_ms(self.route.target_ms, self.urgency, left),
+            tried: &self.tried,
+        };
+        let mut state = self.shared.state();
+        let state = &mut *state;
+        let places = state.places.get_mut(self.service).ok_or(Refuse::Nowhere)?;
+        let choice = places.choose(&wish, now).map_err(|full| match full {
+            Full::Nowhere => Refuse::Nowhere,
+            Full::Busy(room) => Refuse::Busy(room),
+        })?;
+        places.sent(&choice, &call.parts, now);
+        if choice.load.reading > 0 && !call.parts.is_empty() {
+            state.sent.push(fleet::mesh::Sent {
+                engine: choice.engine,
+                parts: call.parts.clone(),
+            });
+        }
+        let engine = state.engine(choice.engine).cloned();
+        engine.map(|engine| (choice, engine)).ok_or(Refuse::Nowhere)
+    }
+
+    async fn send(&mut self, choice: &Choice, engine: &Announcement, caller: &Conn) -> Sent {
+        let mut flight = Flight {
+            shared: self.shared,
+            service: self.service,
+            choice: *choice,
+            load: choice.load,
+            failed: false,
+        };
+        let now = self.shared.now();
+        let taken = self.shared.state().links.take(engine.address, now);
+        let mut conn = match taken {
+            Some(conn) => conn,
+            None => {
+                match Conn::open(engine.address, links::CONNECT.min(self.left().into())).await {
+                    Ok(conn) => conn,
+                    Err(error) => {
+                        self.rest(choice.engine, engine, &error);
+                        return Sent::Unreached;
+                    }
+                }
+            }
+        };
+        let mut out = Vec::with_capacity(1_024 + self.request.body.len());
+        let add = Outgoing {
+            engine: &engine.id,
+            patience_ms: self.left().as_millis().max(1),
+            team: self.team,
+            urgency: Some(self.urgency.min(9)),
+            last_event: self.last_event.as_deref(),
+            length: self.request.body.len(),
+        };
+        call::write_request(&mut out, &self.request.head, &add);
+        out.extend_from_slice(&self.request.body);
+        let sent_at = self.shared.now();
+        self.note_use(true);
+        self.reuse = None;
+        let mut whole = false;
+        let writing = async {
+            let done = conn.write(&out).await;
+            whole = done.is_ok();
+        };
+        // An engine may answer before it has the whole body.
+        writing.or(conn.readable()).await;
+        drop(out);
+        let patience = self.patience();
+        let stalled = async {
+            Timer::after(patience.into()).await;
+            None
+        };
+        let reading = async {
+            Some(
+                self.read_answer(&mut conn, &mut flight, sent_at, caller)
+                    .await,
+            )
+        };
+        let outcome = reading.or(stalled).await.unwrap_or(Sent::Stalled);
+        if let Some(idle_s) = self.reuse.take()
+            && whole
+        {
+            let now = self.shared.now();
+            let mut state = self.shared.state();
+            state.links.put(engine.address, conn, idle_s, now);
+        }
+        flight.failed = matches!(
+            outcome,
+            Sent::Failed | Sent::Refused(..) | Sent::Stalled | Sent::NotRun
+        );
+        if matches!(outcome, Sent::NotRun) {
+            let now = self.shared.now();
+            let mut state = self.shared.state();
+            if let Some(places) = state.places.get_mut(self.service) {
+                places.unreachable(choice.engine, now);
+            }
+        }
+        outcome
+    }
+
+    /// Returns how long an engine may take to answer.
+    fn patience(&self) -> Span {
+        let left = self.left();
+        let further = self.ran + 1 < self.route.attempts && self.route.repeat != Repeat::Never;
+        if further && !self.route.streams {
+            #[allow(
+                clippy::cast_precision_loss,
+                clippy::cast_possible_truncation,
+                clippy::cast_sign_loss
+            )]
+            let part = (left.0 as f64 * STALL_PART) as u64;
+            return Span(part);
+        }
+        left
+    }
+
+    fn rest(&self, key: u64, engine: &Announcement, error: &io::Error) {
+        let now = self.shared.now();
+        let mut state = self.shared.state();
+        if let Some(places) = state.places.get_mut(self.service) {
+            places.unreachable(key, now);
+        }
+        drop(state);
+        log::warn!(
+            "engine: event=unreachable engine={} address={} reason=\"{error}\"",
+            engine.id,
+            engine.address
+        );
+    }
+
+    async fn read_answer(
+        &mut self,
+        conn: &mut Conn,
+        flight: &mut Flight<'_>,
+        sent_at: Time,
+        caller: &Conn,
+    ) -> Sent {
+        let head = loop {
+            match ResponseHead::read(&conn.buf, MAX_HEAD, &self.request.head.method) {
+                Ok(Some((head, used))) => {
+                    conn.used(used);
+                    if head.status >= 200 {
+                        break head;
+                    }
+                    continue;
+                }
+                Ok(None) => {}
+                Err(_) => return Sent::Failed,
+            }
+            match conn.fill().await {
+                Ok(0) | Err(_) => return Sent::Failed,
+                Ok(_) => {}
+            }
+        };
+        match call::verdict(&head, self.request.call.id.as_deref()) {
+            Verdict::Ran => {}
+            Verdict::NotRun | Verdict::Stranger => return Sent::NotRun,
+            Verdict::Foreign => return Sent::Failed,
+        }
+        if head.status < 300 && call::streams(&head) {
+            return self.relay(conn, flight, sent_at, &head, caller).await;
+        }
+        flight.started(sent_at.until(self.shared.now()));
+        let body = match hold(conn, &head).await {
+            Some(body) => body,
+            None => return Sent::Failed,
+        };
+        if body.len() > MAX_HELD {
+            return Sent::Failed;
+        }
+        self.keep(conn, &head);
+        if head.status >= 500 {
+            return Sent::Refused(head, body);
+        }
+        match self.pass(&head, &body, caller).await {
+            End::Answered => Sent::Done,
+            End::Cut => Sent::Cut,
+        }
+    }
+
+    /// Notes that the connection can be used again where nothing is left on it.
+    fn keep(&mut self, conn: &Conn, head: &ResponseHead) {
+        if !head.closes && conn.buf.is_empty() {
+            self.reuse = Some(call::idle_s(head));
+        }
+    }
+
+    /// Sends a whole answer to the caller.
+    async fn pass(&mut self, head: &ResponseHead, body: &[u8], caller: &Conn) -> End {
+        let mut out = Vec::with_capacity(512 + body.len());
+        call::write_response(&mut out, head, Some(body.len() as u64), self.request.close);
+        out.extend_from_slice(body);
+        self.begun = true;
+        match caller.write(&out).await {
+            Ok(()) => End::Answered,
+            Err(_) => End::Cut,
+        }
+    }
+
+    /// Passes a stream of events on as they arrive, whole events only.
+    async fn relay(
+        &mut self,
+        conn: &mut Conn,
+        flight: &mut Flight<'_>,
+        sent_at: Time,
+        head: &ResponseHead,
+        caller: &Conn,
+    ) -> Sent {
+        let mut body = Body::new(head.framing);
+        let mut events = Vec::new();
+        let mut out = Vec::new();
+        loop {
+            match body.read(&conn.buf, &mut events) {
+                Ok(used) => conn.used(used),
+                Err(_) => return self.broken(),
+            }
+            let ready = if body.done() {
+                events.len()
+            } else {
+                event::whole(&events)
+            };
+            if ready > 0 {
+                if self.events == 0 {
+                    flight.started(sent_at.until(self.shared.now()));
+                    self.first = Some(self.shared.now());
+                }
+                let (count, last) = event::last(&events[..ready]);
+                self.events += count as u64;
+                self.note_use(true);
+                if let Some(id) = last {
+                    self.last_event = Some(id.to_owned());
+                }
+                self.begin(head, &mut out);
+                chunk(&mut out, &events[..ready]);
+                events.drain(..ready);
+            }
+            if body.done() {
+                self.begin(head, &mut out);
+                last_chunk(&mut out);
+                self.keep(conn, head);
+                return match caller.write(&out).await {
+                    Ok(()) => Sent::Done,
+                    Err(_) => Sent::Cut,
+                };
+            }
+            if !out.is_empty() {
+                if caller.write(&out).await.is_err() {
+                    return Sent::Cut;
+                }
+                out.clear();
+            }
+            match conn.fill().await {
+                Ok(0) if body.ends_with_connection() => body = Body::new(http::Framing::None),
+                Ok(0) | Err(_) => return self.broken(),
+                Ok(_) => {}
+            }
+        }
+    }
+
+    /// Adds the head of the answer to `out` unless the caller has it.
+    fn begin(&mut self, head: &ResponseHead, out: &mut Vec<u8>) {
+        if !self.begun {
+            call::write_response(out, head, None, self.request.close);
+            self.begun = true;
+        }
+    }
+
+    fn broken(&self) -> Sent {
+        if self.begun && self.route.repeat != Repeat::Resume {
+            return Sent::Cut;
+        }
+        Sent::Failed
+    }
+}
+
+/// Reads a whole body; `None` where it's cut short or too long.
+async fn hold(conn: &mut Conn, head: &ResponseHead) -> Option<Vec<u8>> {
+    let mut body = Body::new(head.framing);
+    let mut held = Vec::new();
+    loop {
+        let used = body.read(&conn.buf, &mut held).ok()?;
+        conn.used(used);
+        if body.done() {
+            return Some(held);
+        }
+        if held.len() > MAX_HELD {
+            return None;
+        }
+        match conn.fill().await {
+            Ok(0) if body.ends_with_connection() => return Some(held),
+            Ok(0) | Err(_) => return None,
+            Ok(_) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/state.rs
@@ -0,0 +1,326 @@
+//! What a process knows, behind one lock that is never held over an await.
+
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::OnceLock;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use base::KeeperId;
+use base::Map;
+use base::Span;
+use base::Time;
+use base::time::Clock;
+use config::site::Table;
+use event_listener::Event;
+use fleet::Node;
+use fleet::mesh::Member;
+use fleet::mesh::Sent;
+use host::Health;
+use host::Pool;
+use ledger::Purses;
+use platform::settings::NodeSettings;
+use routing::Directory;
+use routing::directory::Announcement;
+use routing::directory::Engine;
+use routing::directory::Phase;
+use routing::placement::Placement;
+use routing::placement::Size;
+use routing::repeats::Bound;
+use routing::repeats::Repeats;
+
+use crate::council::Council;
+use crate::links::Links;
+
+/// Silence after which an engine isn't used, as a multiple of the time between its
+/// announcements; they may arrive seconds late.
+const SILENT_BEATS: u64 = 8;
+
+/// Silence after which a peer no longer counts as present.
+pub const PEER_GONE: Span = Span::millis(3_000);
+
+/// A peer and what this process knows of it.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// What it says of itself.
+    pub member: Member,
+    /// When it was last heard, itself or through others.
+    pub heard: Time,
+    /// When it itself was last heard.
+    pub direct: Option<Time>,
+    /// The configuration that it has in force.
+    pub version: u64,
+    /// Whether it takes callers.
+    pub serving: bool,
+    /// Engines whose announcements it may not have.
+    pub pending: Vec<String>,
+    /// Whether it was sent everything known once.
+    pub greeted: bool,
+}
+
+/// What a process knows.
+pub struct State {
+    /// The configuration in force.
+    pub table: Option<Arc<Table>>,
+    /// The same as it was sent.
+    pub body: Arc<Vec<u8>>,
+    /// Whether the configuration was confirmed by the group since the start.
+    pub confirmed: bool,
+    /// The engines.
+    pub directory: Directory,
+    /// Engines of each service as places.
+    pub places: Map<String, Placement>,
+    /// Idle connections to engines.
+    pub links: Links,
+    /// Grants of the teams.
+    pub purses: Purses,
+    /// The budget for repeated sends.
+    pub repeats: Repeats,
+    /// The other processes.
+    pub peers: Map<SocketAddr, Peer>,
+    /// Prompts sent since the last update.
+    pub sent: Vec<Sent>,
+    /// Who leads the group.
+    pub leader: Option<SocketAddr>,
+    /// Whether the replica here belongs to the group.
+    pub joined: bool,
+    /// The replica that the arbiter named to form the group.
+    pub founder: Option<KeeperId>,
+    /// Control addresses of some processes, from the settings.
+    pub seeds: Vec<SocketAddrV4>,
+    /// Replicas whose disk is known to be lost.
+    pub lost: Vec<KeeperId>,
+}
+
+/// A process's shared parts.
+pub struct Shared {
+    /// The settings.
+    pub settings: NodeSettings,
+    /// The clock.
+    pub clock: Clock,
+    /// The pool.
+    pub pool: Pool,
+    /// This process as a member of the mesh.
+    pub own: Member,
+    /// The replica, on an instance with a disk.
+    pub council: Option<Council>,
+    /// Whether new callers are welcome.
+    pub health: Health,
+    /// Notified when grants arrive.
+    pub granted: Event,
+    /// Notified when news should spread at once.
+    pub news: Event,
+    /// Notified when a grant is needed.
+    pub demand: Event,
+    /// Requests in progress.
+    pub busy: AtomicUsize,
+    /// The connections to peers, once they're bound.
+    pub node: OnceLock<Node>,
+    /// When the order to stop came, in microseconds; zero before.
+    stopped: AtomicU64,
+    state: Mutex<State>,
+}
+
+/// Returns the number that stands for a run of an engine.
+#[must_use]
+pub fn engine_key(said: &Announcement) -> u64 {
+    use std::hash::BuildHasher as _;
+    let hasher = base::hash::hasher();
+    hasher.hash_one((&said.id, said.born, said.address))
+}
+
+impl State {
+    /// Returns the state of a process that has just started.
+    #[must_use]
+    pub fn new(settings: &NodeSettings) -> Self {
+        let bounds = &settings.bounds;
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let window = Span((bounds.repeat_window_s * 1e6) as u64);
+        Self {
+            table: None,
+            body: Arc::default(),
+            confirmed: false,
+            directory: Directory::default(),
+            places: Map::default(),
+            links: Links::default(),
+            purses: Purses::new(fastrand::u64(1..)),
+            repeats: Repeats::new(Bound {
+                ratio: bounds.repeat_ratio,
+                slack: bounds.repeat_slack,
+                window,
+            }),
+            peers: Map::default(),
+            sent: Vec::new(),
+            leader: None,
+            joined: false,
+            founder: None,
+            seeds: settings.seeds.clone(),
+            lost: Vec::new(),
+        }
+    }
+
+    /// Returns whether `engine` takes new requests.
+    fn usable(&self, engine: &Engine, beat: Span, now: Time) -> bool {
+        let silent = Span(beat.0 * SILENT_BEATS);
+        engine.said.phase == Phase::Ready
+            && engine.heard.until(now) < silent
+            && self.directory.current(engine)
+    }
+
+    /// Brings the places in line with the directory and the configuration.
+    pub fn place_engines(&mut self, settings: &NodeSettings, now: Time) {
+        let Some(table) = self.table.clone() else {
+            return;
+        };
+        let beat = Span::millis(settings.beat_ms);
+        for service in &table.site().services {
+            let mut usable = Vec::new();
+            for engine in self.directory.iter() {
+                if engine.said.service == service.name && self.usable(engine, beat, now) {
+                    let far = engine.said.domain != settings.domain;
+                    let backend = service.backend.as_ref();
+                    let size = Size {
+                        slots: engine.said.slots,
+                        memory: backend.map_or(0, |backend| backend.memory),
+                    };
+                    usable.push((engine_key(&engine.said), size, far));
+                }
+            }
+            let places = self.places.entry(service.name.clone()).or_default();
+            places.retain(|key| usable.iter().any(|(known, ..)| *known == key));
+            for (key, size, far) in usable {
+                places.admit(key, size, far);
+            }
+        }
+    }
+
+    /// Returns the engine that `key` stands for.
+    #[must_use]
+    pub fn engine(&self, key: u64) -> Option<&Announcement> {
+        let engines = self.directory.iter();
+        engines
+            .map(|engine| &engine.said)
+            .find(|said| engine_key(said) == key)
+    }
+
+    /// Returns the number of entries that take callers, this one among them.
+    #[must_use]
+    pub fn entries(&self, now: Time) -> usize {
+        let present = |peer: &&Peer| peer.heard.until(now) < PEER_GONE;
+        1 + self.peers.values().filter(present).count()
+    }
+
+    /// Notes that all peers need the announcement of the engine `id`.
+    pub fn spread(&mut self, id: &str) {
+        for peer in self.peers.values_mut() {
+            if !peer.pending.iter().any(|known| known == id) {
+                peer.pending.push(id.to_owned());
+            }
+        }
+    }
+}
+
+impl Shared {
+    /// Returns the shared parts of a process around `state`.
+    #[must_use]
+    pub fn new(
+        settings: NodeSettings,
+        pool: &Pool,
+        own: Member,
+        council: Option<Council>,
+        clock: Clock,
+    ) -> Self {
+        let state = Mutex::new(State::new(&settings));
+        Self {
+            settings,
+            clock,
+            pool: pool.clone(),
+            own,
+            council,
+            health: Health::default(),
+            granted: Event::new(),
+            news: Event::new(),
+            demand: Event::new(),
+            busy: AtomicUsize::new(0),
+            node: OnceLock::new(),
+            stopped: AtomicU64::new(0),
+            state,
+        }
+    }
+
+    /// Locks the state.
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Begins a planned stop: the balancer is told, work goes on.
+    pub fn stop(&self) {
+        self.stopped.store(self.now().0.max(1), Ordering::Relaxed);
+        self.health.stop();
+        self.news.notify(usize::MAX);
+    }
+
+    /// Returns when the order to stop came.
+    #[must_use]
+    pub fn stopped_at(&self) -> Option<Time> {
+        let at = self.stopped.load(Ordering::Relaxed);
+        (at > 0).then_some(Time(at))
+    }
+
+    /// Returns the present instant.
+    #[must_use]
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// Puts a configuration in force where its number is higher.
+    ///
+    /// Returns whether it is the newest now.
+    pub fn accept(&self, version: u64, body: Vec<u8>) -> bool {
+        if version == 0 {
+            return true;
+        }
+        let mut state = self.state();
+        let present = state.table.as_ref().map_or(0, |table| table.site().version);
+        if version <= present {
+            return true;
+        }
+        let site = match platform::site::read(&body) {
+            Ok(site) => site,
+            Err(error) => {
+                log::error!(
+                    "config: event=accept version={version} outcome=unreadable reason=\"{error}\""
+                );
+                return false;
+            }
+        };
+        for team in site.teams.iter().flatten() {
+            let table = state.table.clone();
+            let earlier = table
+                .iter()
+                .flat_map(|table| table.site().teams.iter().flatten());
+            let earlier = earlier.filter(|known| known.name == team.name);
+            let fell = earlier
+                .filter_map(|known| known.budget)
+                .any(|old| Some(old) > team.budget);
+            if fell {
+                state.purses.empty(&team.name);
+            }
+        }
+        state.purses.reconsider();
+        let routes = site.routes.len();
+        state.table = Some(Arc::new(Table::new(site)));
+        state.body = Arc::new(body);
+        let now = self.now();
+        state.place_engines(&self.settings, now);
+        drop(state);
+        log::info!("config: event=in_force version={version} earlier={present} routes={routes}");
+        self.news.notify(usize::MAX);
+        true
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/allowance.rs
@@ -0,0 +1,154 @@
+//! One total for each team, handed out to entries in small grants.
+//!
+//! The replicated state behind entries whose memory doesn't survive them. An
+//! entry's lease names all that was granted and all that was given back as sums
+//! that only rise: a message that is lost, late or sent twice changes nothing.
+//! What a dead entry can't prove unspent counts as spent.
+//!
+//! ```text
+//! total = free + closed + sum of (granted - returned) over leases
+//! ```
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Part of what is free that one grant may take, unless a request needs more.
+const GRANT_PART: u64 = 4;
+
+/// Log time after which a silent lease is closed, in milliseconds. Longer than any
+/// partition that an entry should survive with its grants.
+const LEASE_MS: u64 = 120_000;
+
+/// Sums under one lease for one team.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct Grant {
+    granted: u64,
+    returned: u64,
+}
+
+/// A team's account.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct Account {
+    total: u64,
+    closed: u64,
+    grants: BTreeMap<u64, Grant>,
+}
+
+impl Account {
+    fn used(&self) -> u64 {
+        let open: u64 = self.grants.values().map(|g| g.granted - g.returned).sum();
+        self.closed + open
+    }
+
+    fn free(&self) -> u64 {
+        self.total.saturating_sub(self.used())
+    }
+}
+
+/// An entry's demand for one team.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Demand {
+    /// The team.
+    pub team: String,
+    /// The sum of grants that the entry would like.
+    pub want: u64,
+    /// The sum of grants without which a request is refused.
+    pub need: u64,
+    /// The sum of what the entry has given back.
+    pub returned: u64,
+}
+
+/// The answer to one demand.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Granted {
+    /// The team.
+    pub team: String,
+    /// The sum of grants under the lease.
+    pub granted: u64,
+    /// Tokens that nobody holds.
+    pub free: u64,
+}
+
+/// All teams' accounts.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Allowances {
+    accounts: BTreeMap<String, Account>,
+    /// When each lease was last used, in log time.
+    leases: BTreeMap<u64, u64>,
+    /// Leases that were closed; they're never granted anything again.
+    closed: BTreeMap<u64, u64>,
+}
+
+impl Allowances {
+    /// Sets a team's total. What was used stays used.
+    pub fn set_total(&mut self, team: &str, total: u64) {
+        let account = self.accounts.entry(team.to_owned()).or_default();
+        account.total = total;
+    }
+
+    /// Carries out an entry's demands under `lease` at log time `at`.
+    ///
+    /// Returns `None` where the lease was closed: the entry must begin another.
+    pub fn draw(&mut self, lease: u64, demands: &[Demand], at: u64) -> Option<Vec<Granted>> {
+        if self.closed.contains_key(&lease) {
+            return None;
+        }
+        self.leases.insert(lease, at);
+        let granted = demands
+            .iter()
+            .map(|demand| self.grant(lease, demand))
+            .collect();
+        self.expire(at);
+        Some(granted)
+    }
+
+    fn grant(&mut self, lease: u64, demand: &Demand) -> Granted {
+        let account = self.accounts.entry(demand.team.clone()).or_default();
+        let grant = account.grants.entry(lease).or_default();
+        // An entry can't give back more than it was granted.
+        grant.returned = grant.returned.max(demand.returned.min(grant.granted));
+        let granted = grant.granted;
+        let free = account.free();
+        let need = demand.need.saturating_sub(granted);
+        let want = demand.want.max(demand.need).saturating_sub(granted);
+        let part = want.min((free / GRANT_PART).max(need));
+        let more = if part <= free { part } else { 0 };
+        if let Some(grant) = account.grants.get_mut(&lease) {
+            grant.granted += more;
+        }
+        Granted {
+            team: demand.team.clone(),
+            granted: granted + more,
+            free: free - more,
+        }
+    }
+
+    /// Closes leases that have been silent for long: what they hold is spent.
+    fn expire(&mut self, at: u64) {
+        let silent = |&(_, &used): &(&u64, &u64)| used + LEASE_MS < at;
+        let over: Vec<u64> = self.leases.iter().filter(silent).map(|(&l, _)| l).collect();
+        for lease in over {
+            self.leases.remove(&lease);
+            self.closed.insert(lease, at);
+            for account in self.accounts.values_mut() {
+                if let Some(grant) = account.grants.remove(&lease) {
+                    account.closed += grant.granted - grant.returned;
+                }
+            }
+        }
+    }
+
+    /// Returns what `team` has used or holds in grants.
+    #[must_use]
+    pub fn used(&self, team: &str) -> u64 {
+        self.accounts.get(team).map_or(0, Account::used)
+    }
+
+    /// Returns what nobody holds of `team`'s total.
+    #[must_use]
+    pub fn free(&self, team: &str) -> u64 {
+        self.accounts.get(team).map_or(0, Account::free)
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/purse.rs
@@ -0,0 +1,198 @@
+//! An entry's grants for each team and what it charges against them.
+//!
+//! A request is charged at its most before it's sent and given back what it didn't
+//! use when it has ended. Grants follow demand: a purse asks for what the next
+//! moments need and gives back what stays unused.
+
+use base::Map;
+use base::Span;
+use base::Time;
+
+use crate::allowance::Demand;
+use crate::allowance::Granted;
+
+/// Demand that a purse holds ahead: an entry that is cut off from the ledger goes on
+/// for this long. Cuts of single machines last up to nine seconds; what a dead entry
+/// holds is lost to its team, so more isn't held.
+const AHEAD: Span = Span::millis(9_000);
+
+/// Window of the demand's average.
+const WINDOW: Span = Span::millis(4_000);
+
+/// Least age of an average: the first requests alone say little.
+const YOUNG: Span = Span::millis(1_000);
+
+/// Unused demand above which a purse gives back, as a multiple of what it holds
+/// ahead.
+const SURPLUS: u64 = 2;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Purse {
+    granted: u64,
+    returned: u64,
+    /// Charged and not given back.
+    charged: u64,
+    /// Largest request that waits for a grant.
+    short: u64,
+    /// Tokens charged in a window, decayed.
+    demand: f64,
+    /// When the first demand came; a young average covers less than a window.
+    began: Option<Time>,
+    touched: Time,
+    /// Tokens that nobody held when the ledger last answered.
+    free: Option<u64>,
+}
+
+/// Why a request isn't charged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Short {
+    /// A grant must come first.
+    Ungranted,
+    /// The ledger has said that the team's total doesn't cover it.
+    Exhausted,
+}
+
+impl Purse {
+    fn rest(&self) -> u64 {
+        self.granted - self.returned - self.charged
+    }
+
+    fn decay(&mut self, now: Time) {
+        #[allow(clippy::cast_precision_loss)]
+        let part = self.touched.until(now).0 as f64 / WINDOW.0 as f64;
+        self.demand *= (-part).exp();
+        self.touched = now;
+    }
+
+    /// Returns what the purse should hold ahead at `now`.
+    #[allow(
+        clippy::cast_precision_loss,
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss
+    )]
+    fn ahead(&self, now: Time) -> u64 {
+        let Some(began) = self.began else {
+            return self.short;
+        };
+        let age = began.until(now).max(YOUNG).0 as f64 / WINDOW.0 as f64;
+        let covered = 1.0 - (-age).exp();
+        let rate = self.demand / (WINDOW.0 as f64 * covered);
+        (rate * AHEAD.0 as f64) as u64 + self.short
+    }
+}
+
+/// An entry's purses under one lease.
+#[derive(Clone, Debug)]
+pub struct Purses {
+    lease: u64,
+    purses: Map<String, Purse>,
+}
+
+impl Purses {
+    /// Returns empty purses under `lease`, a number that was never used before.
+    #[must_use]
+    pub fn new(lease: u64) -> Self {
+        Self {
+            lease,
+            purses: Map::default(),
+        }
+    }
+
+    /// Returns the lease.
+    #[must_use]
+    pub fn lease(&self) -> u64 {
+        self.lease
+    }
+
+    fn purse(&mut self, team: &str) -> &mut Purse {
+        if !self.purses.contains_key(team) {
+            self.purses.insert(team.to_owned(), Purse::default());
+        }
+        self.purses.entry(team.to_owned()).or_default()
+    }
+
+    /// Charges `amount` to `team`.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the purse holds less; the next demand then asks for it.
+    pub fn charge(&mut self, team: &str, amount: u64, now: Time) -> Result<(), Short> {
+        let purse = self.purse(team);
+        purse.decay(now);
+        if purse.rest() >= amount {
+            #[allow(clippy::cast_precision_loss)]
+            let demand = amount as f64;
+            purse.demand += demand;
+            purse.began = purse.began.or(Some(now));
+            purse.charged += amount;
+            return Ok(());
+        }
+        let missing = amount - purse.rest();
+        let exhausted = purse.free.is_some_and(|free| free < missing);
+        if exhausted && purse.short >= amount {
+            return Err(Short::Exhausted);
+        }
+        purse.short = purse.short.max(amount);
+        Err(Short::Ungranted)
+    }
+
+    /// Gives back what a request didn't use of its charge under `lease`.
+    pub fn refund(&mut self, lease: u64, team: &str, amount: u64) {
+        if lease == self.lease {
+            let purse = self.purse(team);
+            purse.charged = purse.charged.saturating_sub(amount);
+        }
+    }
+
+    /// Returns the demands to send; empty where every purse holds what it needs.
+    pub fn demands(&mut self, now: Time) -> Vec<Demand> {
+        let mut demands = Vec::new();
+        for (team, purse) in &mut self.purses {
+            purse.decay(now);
+            let ahead = purse.ahead(now);
+            let rest = purse.rest();
+            if rest > SURPLUS * ahead.max(1) {
+                purse.returned += rest - ahead;
+            } else if rest * 10 > ahead * 9 && rest >= purse.short {
+                continue;
+            }
+            let rest = purse.rest();
+            let need = purse.short.saturating_sub(rest);
+            demands.push(Demand {
+                team: team.clone(),
+                want: purse.granted + ahead.saturating_sub(rest),
+                need: purse.granted + need,
+                returned: purse.returned,
+            });
+        }
+        demands
+    }
+
+    /// Takes in the ledger's answers under `lease`.
+    pub fn granted(&mut self, lease: u64, answers: &[Granted]) {
+        if lease != self.lease {
+            return;
+        }
+        for answer in answers {
+            let purse = self.purse(&answer.team);
+            purse.granted = purse.granted.max(answer.granted);
+            purse.free = Some(answer.free);
+            if purse.rest() >= purse.short {
+                purse.short = 0;
+            }
+        }
+    }
+
+    /// Forgets what the ledger said of totals, after they changed.
+    pub fn reconsider(&mut self) {
+        for purse in self.purses.values_mut() {
+            purse.free = None;
+        }
+    }
+
+    /// Gives all unused grants of `team` back, after its total fell.
+    pub fn empty(&mut self, team: &str) {
+        let purse = self.purse(team);
+        purse.returned += purse.rest();
+    }
+}
--- /dev/null
+++ b/crates/ledger/tests/purse.rs
@@ -0,0 +1,161 @@
+//! Entries' purses against the replicated allowances.
+
+use std::collections::BTreeMap;
+
+use base::Span;
+use base::Time;
+use ledger::Allowances;
+use ledger::Purses;
+use ledger::allowance::Demand;
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+
+const TEAM: &str = "team";
+
+fn renew(allowances: &mut Allowances, purses: &mut Purses, now: Time) {
+    let demands = purses.demands(now);
+    let lease = purses.lease();
+    let granted = allowances.draw(lease, &demands, now.0 / 1_000);
+    purses.granted(lease, &granted.expect("the lease is open"));
+}
+
+/// Load pattern: steady requests, and after a few seconds the entry is cut off from
+/// the ledger for eight seconds.
+#[test]
+fn a_purse_outlasts_a_cut() {
+    let mut allowances = Allowances::default();
+    allowances.set_total(TEAM, 100_000_000);
+    let mut purses = Purses::new(1);
+    let step = Span::millis(50);
+    let mut now = Time(0);
+    let mut refused = 0;
+    for round in 0..280 {
+        now = now + step;
+        let cut = (100..260).contains(&round);
+        if purses.charge(TEAM, 6_000, now).is_err() {
+            refused += usize::from(round > 20);
+        }
+        if !cut && round % 5 == 0 {
+            renew(&mut allowances, &mut purses, now);
+        }
+    }
+    assert_eq!(refused, 0, "requests refused for want of a grant");
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Charge(u8, u16),
+    Refund(u8, u16),
+    Renew(u8),
+    Repeat(u8),
+    Restart(u8),
+    Total(u16),
+    Wait(u16),
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let entry = u8::arbitrary(g) % 3;
+        match u8::arbitrary(g) % 10 {
+            0..=3 => Self::Charge(entry, u16::arbitrary(g) % 500),
+            4 => Self::Refund(entry, u16::arbitrary(g) % 300),
+            5 | 6 => Self::Renew(entry),
+            7 => Self::Repeat(entry),
+            8 => Self::Restart(entry),
+            _ if bool::arbitrary(g) => Self::Total(u16::arbitrary(g) % 20_000),
+            _ => Self::Wait(u16::arbitrary(g) % 5_000),
+        }
+    }
+}
+
+/// Whatever is lost, repeated or restarted, charges never pass the highest total.
+fn never_overspent(steps: Vec<Step>) -> bool {
+    let mut allowances = Allowances::default();
+    let mut total = 10_000;
+    let mut highest = total;
+    allowances.set_total(TEAM, total);
+    let mut next_lease = 10;
+    let mut entries: Vec<Purses> = (0..3).map(Purses::new).collect();
+    let mut last: BTreeMap<u8, (u64, Vec<Demand>)> = BTreeMap::new();
+    let mut charged = [0_u64; 3];
+    let mut spent = 0;
+    let mut now = Time(1);
+    for step in steps {
+        match step {
+            Step::Charge(entry, amount) => {
+                let at = usize::from(entry);
+                if entries[at].charge(TEAM, amount.into(), now).is_ok() {
+                    charged[at] += u64::from(amount);
+                }
+            }
+            Step::Refund(entry, amount) => {
+                let at = usize::from(entry);
+                let amount = u64::from(amount).min(charged[at]);
+                let lease = entries[at].lease();
+                entries[at].refund(lease, TEAM, amount);
+                charged[at] -= amount;
+            }
+            Step::Renew(entry) => {
+                let at = usize::from(entry);
+                let demands = entries[at].demands(now);
+                let lease = entries[at].lease();
+                if let Some(granted) = allowances.draw(lease, &demands, now.0 / 1_000) {
+                    entries[at].granted(lease, &granted);
+                }
+                last.insert(entry, (lease, demands));
+            }
+            Step::Repeat(entry) => {
+                // The answer of an earlier message arrives late or again.
+                if let Some((lease, demands)) = last.get(&entry)
+                    && let Some(granted) = allowances.draw(*lease, demands, now.0 / 1_000)
+                {
+                    entries[usize::from(entry)].granted(*lease, &granted);
+                }
+            }
+            Step::Restart(entry) => {
+                let at = usize::from(entry);
+                spent += std::mem::take(&mut charged[at]);
+                entries[at] = Purses::new(next_lease);
+                next_lease += 1;
+            }
+            Step::Total(amount) => {
+                total = u64::from(amount);
+                highest = highest.max(total);
+                allowances.set_total(TEAM, total);
+            }
+            Step::Wait(ms) => now = now + Span::millis(ms.into()),
+        }
+        let used: u64 = charged.iter().sum::<u64>() + spent;
+        if used > highest || allowances.used(TEAM) > highest || used > allowances.used(TEAM) {
+            return false;
+        }
+    }
+    true
+}
+
+#[test]
+fn histories_never_overspend() {
+    let mut check = QuickCheck::new()
+        .rng(Gen::from_size_and_seed(200, 11))
+        .tests(3_000);
+    check.quickcheck(never_overspent as fn(Vec<Step>) -> bool);
+}
+
+#[test]
+fn a_closed_lease_is_granted_nothing() {
+    let mut allowances = Allowances::default();
+    allowances.set_total(TEAM, 1_000);
+    let demand = Demand {
+        team: TEAM.to_owned(),
+        want: 200,
+        need: 200,
+        returned: 0,
+    };
+    let first = allowances.draw(1, std::slice::from_ref(&demand), 0);
+    assert_eq!(first.expect("open")[0].granted, 200);
+    // Another lease is used long after; the first one has been silent.
+    let _ = allowances.draw(2, &[], 200_000);
+    assert_eq!(allowances.draw(1, &[demand], 200_001), None);
+    assert_eq!(allowances.used(TEAM), 200, "what it held counts as spent");
+}
--- a/crates/mulberryd/src/main.rs
+++ b/crates/mulberryd/src/main.rs
@@ -7,16 +7,28 @@
 use daemon::Process;
 use daemon::Settings;
 use eyre::Result;
+use gateway::Gateway;
 use getopts::Options;
 use host::Pool;
+use host::signals::Order;
+use platform::settings::NodeSettings;
 
 const USAGE: &str = "Usage: mulberryd [options] FILE
+       mulberryd [options] --gateway
 
 Runs the roles that the settings in FILE give this process.";
 
+/// What the gateway logs.
+const GATEWAY_LOG: &str = "info";
+
 fn options() -> Options {
     let mut options = Options::new();
     options.optflag("", "check", "check FILE, name every fault and exit");
+    options.optflag(
+        "",
+        "gateway",
+        "forward requests, with the platform's settings",
+    );
     options.optflag("h", "help", "print this help");
     options.optflag("V", "version", "print the version");
     options
@@ -37,6 +49,49 @@
     Ok(())
 }
 
+/// Runs the role that forwards requests as they are.
+fn forward(settings: NodeSettings) -> Result<()> {
+    let _logger = host::logs::start_bounded(GATEWAY_LOG)?;
+    let orders = host::signals::orders()?;
+    let pool = Pool::start(1);
+    let name = settings.name.clone();
+    let gateway = Gateway::spawn(&pool, settings)?;
+    futures_lite::future::block_on(async {
+        while let Ok(order) = orders.recv().await {
+            match order {
+                Order::Reload => gateway.reload(),
+                Order::Stop => break,
+            }
+        }
+        log::info!("gateway: event=stop name={name}");
+        gateway.stop().await;
+    });
+    log::info!("gateway: event=stopped name={name}");
+    Ok(())
+}
+
+/// Reads the platform's settings and runs the gateway, or only checks them.
+fn start_gateway(check: bool) -> ExitCode {
+    let settings = match NodeSettings::open() {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("mulberryd: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    if check {
+        println!("{}: no faults", NodeSettings::path().display());
+        return ExitCode::SUCCESS;
+    }
+    match forward(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("mulberryd: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn main() -> ExitCode {
     let args: Vec<String> = env::args().skip(1).collect();
     let matches = match options().parse(&args) {
@@ -54,6 +109,9 @@
         println!("mulberryd {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
+    if matches.opt_present("gateway") {
+        return start_gateway(matches.opt_present("check"));
+    }
     let [file] = matches.free.as_slice() else {
         eprintln!("mulberryd: one FILE is expected\n{USAGE}");
         return ExitCode::from(2);
