Give grants back at a planned stop and refuse what can't be granted at once

Change: purses are closed at a planned stop; entries together hold a quarter of a team's rest; grants are what is there; a refusal for exhaustion counts what others hold; a ledger that doesn't answer is known hopeless; draws pass through a peer that reaches the leader; a stopping process refuses, as not run, what may outlive it.

--- a/crates/fleet/src/mesh.rs
+++ b/crates/fleet/src/mesh.rs
@@ -89,6 +89,8 @@
     Known,
     /// Demands of an entry under its lease.
     Draw(u64, Vec<Demand>),
+    /// A question to the leader, passed on by a process that may reach it.
+    Forward(Box<Ask>),
 }
 
 /// The answer to a message.
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -35,7 +35,7 @@
 
 /// Longest wait for a configuration to be accepted or read. The operator moves on
 /// after a second; the answer then tells it nothing.
-const DECIDE: Span = Span::millis(900);
+const DECIDE: Span = Span::millis(550);
 
 /// Binds `address` and answers calls there.
 ///
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -47,6 +47,15 @@
 /// Longest wait for one answer of the leader.
 const LEADER_WAIT: Span = Span::millis(500);
 
+/// Longest wait for the leader on another process's behalf.
+const FORWARD_WAIT: Span = Span::millis(300);
+
+/// Longest wait for a peer that asks the leader on this process's behalf.
+const FORWARD_PATIENCE: Span = Span::millis(400);
+
+/// Silence up to which a peer is asked to pass a question on.
+const NEAR: Span = Span::millis(700);
+
 /// Pause before the leader is asked once more.
 const LEADER_PAUSE: Duration = Duration::from_millis(40);
 
@@ -56,6 +65,9 @@
 /// Least time between two draws.
 const DRAW_GAP: Duration = Duration::from_millis(15);
 
+/// Longest wait for the ledger to take grants back at a planned stop.
+const CLOSE_WAIT: Span = Span::millis(300);
+
 /// Silence after which a peer is forgotten.
 const FORGET: Span = Span::millis(15_000);
 
@@ -100,6 +112,13 @@
             let version = state.table.as_ref().map_or(0, |table| table.site().version);
             Answer::Config(version, state.body.to_vec())
         }
+        Ask::Forward(ask) => match *ask {
+            // Passed on once: the asker can't reach the leader, this process may.
+            Ask::Submit(..) | Ask::Read | Ask::Draw(..) => {
+                direct(&shared, &ask, FORWARD_WAIT).await
+            }
+            _ => Answer::Unsure,
+        },
         Ask::Join(..) | Ask::Submit(..) | Ask::Read | Ask::Draw(..) => {
             let leader = shared.state().leader;
             match &shared.council {
@@ -127,7 +146,7 @@
         Ask::Read => Input::Read(reply),
         Ask::Draw(lease, demands) => Input::Draw(lease, demands, reply),
         Ask::Join(id, disk, _) => Input::Join(joiner(shared, id, disk), reply),
-        Ask::Update(_) | Ask::Replica(_) | Ask::Known => return Answer::Unsure,
+        Ask::Update(_) | Ask::Replica(_) | Ask::Known | Ask::Forward(_) => return Answer::Unsure,
     };
     council.send(input);
     let late = async {
@@ -154,8 +173,34 @@
     }
 }
 
-/// Asks the leader, again where it can't be reached, for at most `patience`.
+/// Asks the leader, itself or through a peer, for at most `patience`.
 pub async fn lead(shared: &Shared, ask: &Ask, patience: Span) -> Answer {
+    let answer = direct(shared, ask, patience).await;
+    if !matches!(answer, Answer::Unsure | Answer::Elsewhere(_)) {
+        return answer;
+    }
+    let now = shared.now();
+    let through = {
+        let state = shared.state();
+        let leader = state.leader;
+        let near = state.peers.values().filter(|peer| {
+            Some(peer.member.address) != leader
+                && peer.direct.is_some_and(|at| at.until(now) < NEAR)
+        });
+        let near: Vec<SocketAddr> = near.map(|peer| peer.member.address).collect();
+        fastrand::choice(near)
+    };
+    let Some(address) = through else {
+        return Answer::Unsure;
+    };
+    let ask = Ask::Forward(Box::new(ask.clone()));
+    peer(shared, address, ask, FORWARD_PATIENCE)
+        .await
+        .unwrap_or(Answer::Unsure)
+}
+
+/// Asks the leader, again where it can't be reached, for at most `patience`.
+async fn direct(shared: &Shared, ask: &Ask, patience: Span) -> Answer {
     let until = shared.now() + patience;
     let mut hint = None;
     loop {
@@ -560,14 +605,27 @@
             let ask = Ask::Draw(lease, demands);
             match lead(&shared, &ask, LEADER_WAIT).await {
                 Answer::Granted(Some(granted)) => {
-                    shared.state().purses.granted(lease, &granted);
+                    let now = shared.now();
+                    let mut state = shared.state();
+                    state.purses.granted(lease, &granted, now);
+                    if !std::mem::replace(&mut state.ledger_answers, true) {
+                        log::info!("budget: event=ledger_regained lease={lease:x}");
+                    }
                 }
                 Answer::Granted(None) => {
                     let fresh = fastrand::u64(1..);
                     log::warn!("budget: event=lease_closed lease={lease:x} next={fresh:x}");
                     shared.state().purses = Purses::new(fresh);
                 }
-                _ => log::info!("budget: event=draw lease={lease:x} outcome=unsure"),
+                _ => {
+                    let mut state = shared.state();
+                    if std::mem::replace(&mut state.ledger_answers, false) {
+                        log::warn!(
+                            "budget: event=ledger_lost lease={lease:x} leader={:?}",
+                            state.leader
+                        );
+                    }
+                }
             }
             shared.granted.notify(usize::MAX);
             Timer::after(DRAW_GAP).await;
@@ -578,3 +636,17 @@
         listener.or(tick).await;
     }
 }
+
+/// Gives all unused grants back before a planned stop.
+pub async fn close_purses(shared: &Shared) {
+    let (lease, demands) = {
+        let mut state = shared.state();
+        (state.purses.lease(), state.purses.close())
+    };
+    if demands.is_empty() {
+        return;
+    }
+    let answer = lead(shared, &Ask::Draw(lease, demands), CLOSE_WAIT).await;
+    let returned = matches!(answer, Answer::Granted(Some(_)));
+    log::info!("budget: event=closed lease={lease:x} returned={returned}");
+}
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -37,9 +37,6 @@
 /// Messages of the log that may wait to be sent.
 const WAITING: usize = 4_096;
 
-/// Time kept between the last work and the end of the grace period.
-const STOP_MARGIN: Duration = Duration::from_millis(500);
-
 /// Time in which messages that hand over leadership leave.
 const HAND_OVER: Duration = Duration::from_millis(120);
 
@@ -167,8 +164,7 @@
     pub async fn stop(&self) {
         let shared = &self.shared;
         shared.stop();
-        let grace = Duration::from_secs_f64(shared.settings.bounds.grace_s.max(1.0));
-        let end = shared.now() + span(grace.saturating_sub(STOP_MARGIN));
+        let end = shared.now() + shared.grace();
         let least = shared.now() + front::STOP_IDLE + Span::millis(600);
         loop {
             let now = shared.now();
@@ -179,6 +175,7 @@
             }
             Timer::after(Duration::from_millis(50)).await;
         }
+        mesh::close_purses(shared).await;
         if let Some(council) = &shared.council {
             let (done, stopped) = async_channel::bounded(1);
             council.send(Input::Stop(done));
@@ -192,10 +189,6 @@
     }
 }
 
-fn span(duration: Duration) -> Span {
-    Span(u64::try_from(duration.as_micros()).unwrap_or(u64::MAX))
-}
-
 fn service(shared: &Arc<Shared>) -> Service {
     let shared = Arc::clone(shared);
     Service {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -51,6 +51,10 @@
 /// Engines that are tried for one request before it's refused, where none ran it.
 const MOST_TRIES: usize = 3;
 
+/// Time after the order to stop in which any request is taken: the balancer takes
+/// two questions, a second apart, and new connections may be on their way.
+const STOP_TAKES: Span = Span::millis(2_800);
+
 /// Events that may be on their way when a stream is cut, counted as delivered.
 const IN_FLIGHT: u64 = 2;
 
@@ -100,6 +104,8 @@
     Nowhere,
     /// No engine ran it.
     NotRun,
+    /// The process stops before the request's time is over.
+    Stopping,
     /// An engine may have run it and didn't answer.
     Unknown,
     /// The time was over before an engine answered.
@@ -117,6 +123,7 @@
             | Self::Busy(_)
             | Self::Nowhere
             | Self::NotRun
+            | Self::Stopping
             | Self::Late { sent: false } => 503,
             Self::Unknown => 502,
             Self::Late { sent: true } => 504,
@@ -135,6 +142,7 @@
             Self::Busy(_) => "all endpoints are busy; the request did not run\n",
             Self::Nowhere => "no endpoint is available; the request did not run\n",
             Self::NotRun => "the endpoints had no room; the request did not run\n",
+            Self::Stopping => "this process stops; the request did not run\n",
             Self::Unknown => "the endpoint failed; whether the request ran is unknown\n",
             Self::Late { sent: false } => "the time is over; the request did not run\n",
             Self::Late { sent: true } => "the time is over; whether the request ran is unknown\n",
@@ -147,6 +155,7 @@
             Self::Busy(ms) => Some(ms),
             Self::Unconfigured | Self::Nowhere | Self::Grant => Some(400.0),
             Self::NotRun => Some(300.0),
+            Self::Stopping => Some(0.0),
             _ => None,
         }
     }
@@ -163,9 +172,9 @@
 
 impl Drop for Charge<'_> {
     fn drop(&mut self) {
-        let unused = self.most.saturating_sub(self.used);
         let mut state = self.shared.state();
-        state.purses.refund(self.lease, &self.team, unused);
+        let (lease, most, used) = (self.lease, self.most, self.used);
+        state.purses.settle(lease, &self.team, most, used);
     }
 }
 
@@ -289,11 +298,12 @@
         .map(|room| admission::retry_after_ms(room, left));
     let id = request.call.id.as_deref();
     log::info!(
-        "request: id={} event=end outcome=refused status={} reason=\"{}\" cause={refuse:?} ms={spent} left_ms={left} after_ms={}",
+        "request: id={} event=end outcome=refused status={} reason=\"{}\" cause={refuse:?} ms={spent} left_ms={left} after_ms={} prompt={}",
         id.unwrap_or("-"),
         refuse.status(),
         refuse.reason().trim_end(),
-        after.unwrap_or(0)
+        after.unwrap_or(0),
+        request.call.prompt
     );
     let mut out = Vec::with_capacity(256);
     let refusal = call::Refusal {
@@ -332,6 +342,9 @@
         .map_or(DEFAULT_PATIENCE, Span::millis);
     let limit = Span::millis(route.timeout_ms).min(patience);
     let deadline = request.arrived + limit;
+    if stops_before(shared, request.arrived, deadline) {
+        return Err(Refuse::Stopping);
+    }
     let backend = table.service(service).and_then(|s| s.backend.as_ref());
     let mut way = Way {
         shared,
@@ -358,6 +371,16 @@
     way.run(caller).await
 }
 
+/// Returns whether a planned stop may end before `deadline` a request that came long
+/// after the balancer was told: it still sends callers where a failure domain has
+/// few other processes.
+fn stops_before(shared: &Shared, arrived: Time, deadline: Time) -> bool {
+    let Some(stopped) = shared.stopped_at() else {
+        return false;
+    };
+    arrived > stopped + STOP_TAKES && deadline > stopped + shared.grace()
+}
+
 impl<'a> Way<'a> {
     fn left(&self) -> Span {
         self.shared.now().until(self.deadline)
@@ -371,9 +394,11 @@
         loop {
             let listener = self.shared.granted.listen();
             let now = self.shared.now();
+            let hopeless;
             let charged = {
                 let mut state = self.shared.state();
                 let charged = state.purses.charge(team, most, now);
+                hopeless = !state.ledger_answers;
                 charged.map(|()| state.purses.lease())
             };
             match charged {
@@ -387,6 +412,11 @@
                     });
                 }
                 Err(Short::Exhausted) => return Err(Refuse::Budget),
+                Err(Short::Held) => return Err(Refuse::Grant),
+                Err(Short::Ungranted) if hopeless => {
+                    self.shared.demand.notify(1);
+                    return Err(Refuse::Grant);
+                }
                 Err(Short::Ungranted) => {}
             }
             if now >= give_up || now >= self.deadline {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -44,6 +44,15 @@
 /// Silence after which a peer no longer counts as present.
 pub const PEER_GONE: Span = Span::millis(3_000);
 
+/// Time kept between the last work and the end of the grace period.
+const STOP_MARGIN: Span = Span::millis(500);
+
+/// Returns seconds of the settings in whole milliseconds.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn whole_ms(seconds: f64) -> u64 {
+    (seconds.max(0.0) * 1e3) as u64
+}
+
 /// A peer and what this process knows of it.
 #[derive(Clone, Debug)]
 pub struct Peer {
@@ -79,6 +88,8 @@
     pub links: Links,
     /// Grants of the teams.
     pub purses: Purses,
+    /// Whether the ledger answered the last time it was asked.
+    pub ledger_answers: bool,
     /// The budget for repeated sends.
     pub repeats: Repeats,
     /// The other processes.
@@ -139,8 +150,7 @@
     #[must_use]
     pub fn new(settings: &NodeSettings) -> Self {
         let bounds = &settings.bounds;
-        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        let window = Span((bounds.repeat_window_s * 1e6) as u64);
+        let window = Span::millis(whole_ms(bounds.repeat_window_s));
         Self {
             table: None,
             body: Arc::default(),
@@ -149,6 +159,7 @@
             places: Map::default(),
             links: Links::default(),
             purses: Purses::new(fastrand::u64(1..)),
+            ledger_answers: true,
             repeats: Repeats::new(Bound {
                 ratio: bounds.repeat_ratio,
                 slack: bounds.repeat_slack,
@@ -265,6 +276,13 @@
         self.news.notify(usize::MAX);
     }
 
+    /// Returns the time from the order to stop to the end of all work.
+    #[must_use]
+    pub fn grace(&self) -> Span {
+        let grace = Span::millis(whole_ms(self.settings.bounds.grace_s));
+        Span(grace.0.saturating_sub(STOP_MARGIN.0))
+    }
+
     /// Returns when the order to stop came.
     #[must_use]
     pub fn stopped_at(&self) -> Option<Time> {
--- a/crates/ledger/src/allowance.rs
+++ b/crates/ledger/src/allowance.rs
@@ -14,8 +14,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// Part of what is free that one grant may take, unless a request needs more.
-const GRANT_PART: u64 = 4;
+/// Part of what is unspent that all entries may hold ahead, unless a request needs
+/// more: what dies with entries then never takes more than this part of the rest.
+const HELD_PART: u64 = 4;
 
 /// Log time after which a silent lease is closed, in milliseconds. Longer than any
 /// partition that an entry should survive with its grants.
@@ -26,6 +27,15 @@
 struct Grant {
     granted: u64,
     returned: u64,
+    /// What the entry has said to be spent; the rest may be too.
+    spent: u64,
+}
+
+impl Grant {
+    /// Returns what the entry may still spend, as far as the ledger knows.
+    fn held(&self) -> u64 {
+        self.granted - self.returned - self.spent
+    }
 }
 
 /// A team's account.
@@ -58,6 +68,8 @@
     pub need: u64,
     /// The sum of what the entry has given back.
     pub returned: u64,
+    /// The sum of what ended requests have used.
+    pub spent: u64,
 }
 
 /// The answer to one demand.
@@ -69,6 +81,9 @@
     pub granted: u64,
     /// Tokens that nobody holds.
     pub free: u64,
+    /// Tokens that nobody has spent, as far as the ledger knows, but for what the
+    /// entry itself holds.
+    pub rest: u64,
 }
 
 /// All teams' accounts.
@@ -109,19 +124,25 @@
         let grant = account.grants.entry(lease).or_default();
         // An entry can't give back more than it was granted.
         grant.returned = grant.returned.max(demand.returned.min(grant.granted));
+        let rest = grant.granted - grant.returned;
+        grant.spent = grant.spent.max(demand.spent).min(rest);
         let granted = grant.granted;
         let free = account.free();
+        let held: u64 = account.grants.values().map(Grant::held).sum();
         let need = demand.need.saturating_sub(granted);
         let want = demand.want.max(demand.need).saturating_sub(granted);
-        let part = want.min((free / GRANT_PART).max(need));
-        let more = if part <= free { part } else { 0 };
+        let room = ((free + held) / HELD_PART).saturating_sub(held);
+        let more = want.min(room.max(need)).min(free);
+        let mut own = 0;
         if let Some(grant) = account.grants.get_mut(&lease) {
+            own = grant.held();
             grant.granted += more;
         }
         Granted {
             team: demand.team.clone(),
             granted: granted + more,
             free: free - more,
+            rest: free - more + held - own,
         }
     }
 
--- a/crates/ledger/src/purse.rs
+++ b/crates/ledger/src/purse.rs
@@ -19,6 +19,10 @@
 /// Window of the demand's average.
 const WINDOW: Span = Span::millis(4_000);
 
+/// Age up to which the ledger's answer decides; it's asked again several times a
+/// second while a request is short.
+const FRESH: Span = Span::millis(600);
+
 /// Least age of an average: the first requests alone say little.
 const YOUNG: Span = Span::millis(1_000);
 
@@ -32,6 +36,8 @@
     returned: u64,
     /// Charged and not given back.
     charged: u64,
+    /// The part of it that ended requests have used.
+    spent: u64,
     /// Largest request that waits for a grant.
     short: u64,
     /// Tokens charged in a window, decayed.
@@ -39,8 +45,16 @@
     /// When the first demand came; a young average covers less than a window.
     began: Option<Time>,
     touched: Time,
-    /// Tokens that nobody held when the ledger last answered.
-    free: Option<u64>,
+    /// The ledger's last answer.
+    answer: Option<Answer>,
+}
+
+/// What the ledger said of a team.
+#[derive(Clone, Copy, Debug)]
+struct Answer {
+    at: Time,
+    free: u64,
+    rest: u64,
 }
 
 /// Why a request isn't charged.
@@ -48,7 +62,9 @@
 pub enum Short {
     /// A grant must come first.
     Ungranted,
-    /// The ledger has said that the team's total doesn't cover it.
+    /// Other entries hold what is left.
+    Held,
+    /// The team's total doesn't cover it.
     Exhausted,
 }
 
@@ -128,19 +144,22 @@
             return Ok(());
         }
         let missing = amount - purse.rest();
-        let exhausted = purse.free.is_some_and(|free| free < missing);
-        if exhausted && purse.short >= amount {
-            return Err(Short::Exhausted);
-        }
         purse.short = purse.short.max(amount);
-        Err(Short::Ungranted)
+        match purse.answer {
+            Some(answer) if answer.at.until(now) > FRESH => Err(Short::Ungranted),
+            Some(answer) if answer.rest < missing => Err(Short::Exhausted),
+            Some(answer) if answer.free < missing => Err(Short::Held),
+            _ => Err(Short::Ungranted),
+        }
     }
 
-    /// Gives back what a request didn't use of its charge under `lease`.
-    pub fn refund(&mut self, lease: u64, team: &str, amount: u64) {
+    /// Settles a request that was charged `charged` under `lease` and used `used`.
+    pub fn settle(&mut self, lease: u64, team: &str, charged: u64, used: u64) {
         if lease == self.lease {
             let purse = self.purse(team);
-            purse.charged = purse.charged.saturating_sub(amount);
+            let used = used.min(charged);
+            purse.charged = purse.charged.saturating_sub(charged - used);
+            purse.spent += used;
         }
     }
 
@@ -163,20 +182,42 @@
                 want: purse.granted + ahead.saturating_sub(rest),
                 need: purse.granted + need,
                 returned: purse.returned,
+                spent: purse.spent,
             });
         }
         demands
     }
 
+    /// Gives all unused grants back, before a planned stop. Returns the demands that
+    /// say so.
+    pub fn close(&mut self) -> Vec<Demand> {
+        let close = |(team, purse): (&String, &mut Purse)| {
+            purse.returned += purse.rest();
+            purse.short = 0;
+            Demand {
+                team: team.clone(),
+                want: 0,
+                need: 0,
+                returned: purse.returned,
+                spent: purse.spent,
+            }
+        };
+        self.purses.iter_mut().map(close).collect()
+    }
+
     /// Takes in the ledger's answers under `lease`.
-    pub fn granted(&mut self, lease: u64, answers: &[Granted]) {
+    pub fn granted(&mut self, lease: u64, answers: &[Granted], now: Time) {
         if lease != self.lease {
             return;
         }
         for answer in answers {
             let purse = self.purse(&answer.team);
             purse.granted = purse.granted.max(answer.granted);
-            purse.free = Some(answer.free);
+            purse.answer = Some(Answer {
+                at: now,
+                free: answer.free,
+                rest: answer.rest,
+            });
             if purse.rest() >= purse.short {
                 purse.short = 0;
             }
@@ -186,7 +227,7 @@
     /// Forgets what the ledger said of totals, after they changed.
     pub fn reconsider(&mut self) {
         for purse in self.purses.values_mut() {
-            purse.free = None;
+            purse.answer = None;
         }
     }
 
--- a/crates/ledger/tests/purse.rs
+++ b/crates/ledger/tests/purse.rs
@@ -7,6 +7,7 @@
 use ledger::Allowances;
 use ledger::Purses;
 use ledger::allowance::Demand;
+use ledger::purse::Short;
 use quickcheck::Arbitrary;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
@@ -17,7 +18,7 @@
     let demands = purses.demands(now);
     let lease = purses.lease();
     let granted = allowances.draw(lease, &demands, now.0 / 1_000);
-    purses.granted(lease, &granted.expect("the lease is open"));
+    purses.granted(lease, &granted.expect("the lease is open"), now);
 }
 
 /// Load pattern: steady requests, and after a few seconds the entry is cut off from
@@ -93,7 +94,8 @@
                 let at = usize::from(entry);
                 let amount = u64::from(amount).min(charged[at]);
                 let lease = entries[at].lease();
-                entries[at].refund(lease, TEAM, amount);
+                entries[at].settle(lease, TEAM, amount, amount / 2);
+                let amount = amount - amount / 2;
                 charged[at] -= amount;
             }
             Step::Renew(entry) => {
@@ -101,7 +103,7 @@
                 let demands = entries[at].demands(now);
                 let lease = entries[at].lease();
                 if let Some(granted) = allowances.draw(lease, &demands, now.0 / 1_000) {
-                    entries[at].granted(lease, &granted);
+                    entries[at].granted(lease, &granted, now);
                 }
                 last.insert(entry, (lease, demands));
             }
@@ -110,7 +112,7 @@
                 if let Some((lease, demands)) = last.get(&entry)
                     && let Some(granted) = allowances.draw(*lease, demands, now.0 / 1_000)
                 {
-                    entries[usize::from(entry)].granted(*lease, &granted);
+                    entries[usize::from(entry)].granted(*lease, &granted, now);
                 }
             }
             Step::Restart(entry) => {
@@ -151,6 +153,7 @@
         want: 200,
         need: 200,
         returned: 0,
+        spent: 0,
     };
     let first = allowances.draw(1, std::slice::from_ref(&demand), 0);
     assert_eq!(first.expect("open")[0].granted, 200);
@@ -159,3 +162,92 @@
     assert_eq!(allowances.draw(1, &[demand], 200_001), None);
     assert_eq!(allowances.used(TEAM), 200, "what it held counts as spent");
 }
+
+/// Load pattern: entries are stopped in turn, each with grants for seconds ahead.
+#[test]
+fn a_planned_stop_gives_grants_back() {
+    let mut allowances = Allowances::default();
+    allowances.set_total(TEAM, 1_000_000);
+    let mut now = Time(0);
+    let mut used = 0;
+    for lease in 1..=8 {
+        let mut purses = Purses::new(lease);
+        for _ in 0..20 {
+            now = now + Span::millis(100);
+            if purses.charge(TEAM, 1_000, now).is_ok() {
+                purses.settle(lease, TEAM, 1_000, 600);
+                used += 600;
+            }
+            renew(&mut allowances, &mut purses, now);
+        }
+        let demands = purses.close();
+        let closed = allowances.draw(lease, &demands, now.0 / 1_000);
+        assert!(closed.is_some(), "the lease is open");
+    }
+    assert_eq!(allowances.used(TEAM), used);
+}
+
+/// Load pattern: all entries are killed again and again; what dies with them must
+/// leave most of the rest.
+#[test]
+fn deaths_take_a_part_of_the_rest() {
+    let mut allowances = Allowances::default();
+    allowances.set_total(TEAM, 1_000_000);
+    let mut now = Time(0);
+    for round in 0..3_u64 {
+        let mut entries: Vec<Purses> = (0..6).map(|n| Purses::new(100 * round + n)).collect();
+        for _ in 0..40 {
+            now = now + Span::millis(100);
+            for purses in &mut entries {
+                let lease = purses.lease();
+                if purses.charge(TEAM, 900, now).is_ok() {
+                    purses.settle(lease, TEAM, 900, 500);
+                }
+                renew(&mut allowances, purses, now);
+            }
+        }
+    }
+    let served = 3 * 40 * 6 * 500;
+    let rest = 1_000_000 - served;
+    assert!(
+        allowances.free(TEAM) > rest / 3,
+        "free {} of a rest of {rest}",
+        allowances.free(TEAM)
+    );
+}
+
+/// Load pattern: a team's total is nearly used; large requests don't fit any more,
+/// small ones do and must not wait behind them.
+#[test]
+fn small_requests_pass_large_ones_that_do_not_fit() {
+    let mut allowances = Allowances::default();
+    allowances.set_total(TEAM, 5_000);
+    let mut purses = Purses::new(1);
+    let mut now = Time(0);
+    let mut small = 0;
+    for _ in 0..10 {
+        now = now + Span::millis(50);
+        let large = purses.charge(TEAM, 20_000, now);
+        assert_ne!(large, Ok(()));
+        small += usize::from(purses.charge(TEAM, 400, now).is_ok());
+        renew(&mut allowances, &mut purses, now);
+    }
+    assert!(small >= 9, "{small} small requests were charged");
+    assert_eq!(purses.charge(TEAM, 20_000, now), Err(Short::Exhausted));
+}
+
+/// What other entries hold unspent isn't spent: a refusal must not say so.
+#[test]
+fn what_others_hold_is_not_exhausted() {
+    let mut allowances = Allowances::default();
+    allowances.set_total(TEAM, 5_000);
+    let mut one = Purses::new(1);
+    let mut two = Purses::new(2);
+    let now = Time(1);
+    let _ = one.charge(TEAM, 4_500, now);
+    renew(&mut allowances, &mut one, now);
+    let _ = two.charge(TEAM, 2_000, now);
+    renew(&mut allowances, &mut two, now);
+    assert_eq!(two.charge(TEAM, 2_000, now), Err(Short::Held));
+    assert_eq!(two.charge(TEAM, 6_000, now), Err(Short::Exhausted));
+}
