Keep on the disk what an entry opens of its grants

Leases of dead runs are closed, so that a refusal can say truly that the total is used. A stalled disk is left for a lease without one.

--- a/crates/fleet/src/mesh.rs
+++ b/crates/fleet/src/mesh.rs
@@ -66,6 +66,8 @@
     pub leader: Option<SocketAddr>,
     /// The replica that forms the group, where the sender names it.
     pub founder: Option<KeeperId>,
+    /// The sender's lease on teams' tokens.
+    pub lease: u64,
     /// Whether the sender takes callers.
     pub serving: bool,
     /// Whether the sender stops and takes part no longer.
@@ -89,6 +91,8 @@
     Known,
     /// Demands of an entry under its lease.
     Draw(u64, Vec<Demand>),
+    /// Closes the lease of an earlier run, of which this was opened at most.
+    Close(u64, Option<Vec<(String, u64)>>),
     /// A question to the leader, passed on by a process that may reach it.
     Forward(Box<Ask>),
 }
--- a/crates/gateway/src/council.rs
+++ b/crates/gateway/src/council.rs
@@ -35,6 +35,8 @@
 use crate::record::Command;
 use crate::record::Outcome;
 use crate::record::Record;
+use crate::seals::Seal;
+use crate::seals::Seals;
 
 /// Time between two ticks. An election then takes half a second to a second, which
 /// a machine that is slowed a few times still meets.
@@ -52,6 +54,13 @@
 /// Time between two attempts to open a folder whose disk failed.
 const REOPEN: Duration = Duration::from_millis(500);
 
+/// Silence after which the lease of an entry that nobody hears is closed; cuts of
+/// single machines are shorter.
+const SILENT: Duration = Duration::from_secs(10);
+
+/// Time between two lines on the sums of the allowances.
+const REPORT_EVERY: Duration = Duration::from_secs(5);
+
 /// Where an answer goes.
 pub type Reply = Sender<Answer>;
 
@@ -67,6 +76,12 @@
     Read(Reply),
     /// Demands of an entry under its lease.
     Draw(u64, Vec<Demand>, Reply),
+    /// Makes durable what this entry opens of its grants.
+    Seal(Seal, Reply),
+    /// Closes the lease of a dead entry.
+    Close(u64, Option<Vec<(String, u64)>>, Reply),
+    /// Closes leases that were silent for long; those named belong to live entries.
+    Bury(Vec<u64>),
     /// Adds a learner, and removes a member that it replaces.
     Join(Joiner, Reply),
     /// Hands leadership over and stops.
@@ -133,6 +148,7 @@
     inputs: mpsc::Sender<Input>,
     id: KeeperId,
     disk: u64,
+    seal: Option<Seal>,
 }
 
 /// Returns the number that belongs to a disk.
@@ -157,6 +173,7 @@
             inputs,
             id: opened.replica.id(),
             disk: opened.identity,
+            seal: opened.seal.clone(),
         };
         thread::Builder::new()
             .name("council".to_owned())
@@ -177,6 +194,12 @@
         self.disk
     }
 
+    /// Returns what an earlier run had opened of its grants.
+    #[must_use]
+    pub fn seal(&self) -> Option<&Seal> {
+        self.seal.as_ref()
+    }
+
     /// Hands an input to the thread.
     pub fn send(&self, input: Input) {
         if self.inputs.send(input).is_err() {
@@ -189,6 +212,8 @@
     replica: Replica,
     record: Record,
     disk: LogDisk,
+    seals: Seals,
+    seal: Option<Seal>,
     identity: u64,
     _folder: Folder,
 }
@@ -204,6 +229,7 @@
         };
         let path: &Path = &start.folder.join("log");
         let (disk, found) = LogDisk::open(path, Members::default(), options)?;
+        let (seals, seal) = Seals::open(&start.folder.join("seals"), options)?;
         let data = &found.log.snapshot().data;
         let record = if data.is_empty() {
             Record::default()
@@ -222,6 +248,8 @@
             replica,
             record,
             disk,
+            seals,
+            seal,
             identity,
             _folder: folder,
         })
@@ -241,12 +269,14 @@
     pending: BTreeMap<u64, Pending>,
     reads: BTreeMap<u64, Reply>,
     ready: Vec<(Reply, Answer)>,
+    seals: Vec<(Seal, Reply)>,
     ticket: u64,
     leader: Option<KeeperId>,
     member: bool,
     applied: u64,
     stop: Option<Sender<()>>,
     began: Instant,
+    reported: Instant,
     base: u64,
 }
 
@@ -290,12 +320,14 @@
             pending: BTreeMap::new(),
             reads: BTreeMap::new(),
             ready: Vec::new(),
+            seals: Vec::new(),
             ticket: 0,
             leader: None,
             member: false,
             applied,
             stop: None,
             began: Instant::now(),
+            reported: Instant::now(),
             base,
         }
     }
@@ -324,6 +356,7 @@
                 let at = self.base + millis(self.began.elapsed());
                 let effects = self.open.replica.tick(at);
                 self.gather(effects);
+                self.report();
             }
             self.flush()?;
             if let Some(done) = self.stop.take() {
@@ -334,6 +367,16 @@
         }
     }
 
+    /// Logs the sums of the allowances at the leader.
+    fn report(&mut self) {
+        if self.open.replica.role() != Role::Leader || self.reported.elapsed() < REPORT_EVERY {
+            return;
+        }
+        self.reported = Instant::now();
+        let (total, used, held) = self.open.record.allowances.sums();
+        log::info!("budget: event=sums total={total} used={used} held={held}");
+    }
+
     fn gather(&mut self, more: Effects) {
         self.effects.writes.extend(more.writes);
         self.effects.sends.extend(more.sends);
@@ -376,6 +419,11 @@
                 let effects = self.open.replica.read(self.ticket);
                 self.gather(effects);
             }
+            Input::Seal(seal, reply) => self.seals.push((seal, reply)),
+            Input::Close(lease, opened, reply) => {
+                self.propose(&Command::Close { lease, opened }, reply);
+            }
+            Input::Bury(live) => self.bury(&live),
             Input::Join(joiner, reply) => self.join(&joiner, reply),
             Input::Stop(done) => {
                 let effects = self.open.replica.hand_over();
@@ -385,6 +433,23 @@
         }
     }
 
+    /// Closes silent leases of entries that nobody hears.
+    fn bury(&mut self, live: &[u64]) {
+        if self.open.replica.role() != Role::Leader {
+            return;
+        }
+        let now = self.base + millis(self.began.elapsed());
+        let before = now.saturating_sub(millis(SILENT));
+        let silent = self.open.record.allowances.silent(before);
+        let dead: Vec<u64> = silent.filter(|lease| !live.contains(lease)).collect();
+        for lease in dead {
+            log::info!("budget: event=lease_buried lease={lease:x}");
+            let (reply, _) = async_channel::bounded(1);
+            let opened = None;
+            self.propose(&Command::Close { lease, opened }, reply);
+        }
+    }
+
     fn form(&mut self) {
         let replica = &self.open.replica;
         if !replica.fresh() || !replica.members().voters.is_empty() {
@@ -449,6 +514,10 @@
 
     /// Makes writes durable, applies what is committed and lets answers leave.
     fn flush(&mut self) -> Result<(), CouncilError> {
+        for (seal, reply) in self.seals.drain(..) {
+            self.open.seals.write(&seal)?;
+            self.ready.push((reply, Answer::Done));
+        }
         while !self.effects.is_empty() {
             let effects = std::mem::take(&mut self.effects);
             if !effects.writes.is_empty() {
@@ -503,6 +572,7 @@
         let answer = match outcome {
             _ if pending.term != term => Answer::Unsure,
             Outcome::Accepted(version) => Answer::Version(version),
+            Outcome::Closed => Answer::Done,
             Outcome::Granted(granted) => Answer::Granted(granted),
         };
         self.ready.push((pending.reply, answer));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`process`]: a whole process.
 //! - [`record`]: the replicated state.
 //! - [`relay`]: one request's way.
+//! - [`seals`]: what an entry with a disk has opened of its grants.
 //! - [`state`]: what a process knows.
 
 pub mod conn;
@@ -20,6 +21,7 @@
 pub mod process;
 pub mod record;
 pub mod relay;
+pub mod seals;
 pub mod state;
 
 pub use crate::process::Gateway;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -28,6 +28,7 @@
 use crate::council::Council;
 use crate::council::Input;
 use crate::council::Joiner;
+use crate::seals::Seal;
 use crate::state::PEER_GONE;
 use crate::state::Peer;
 use crate::state::Shared;
@@ -68,6 +69,13 @@
 /// Longest wait for the ledger to take grants back at a planned stop.
 const CLOSE_WAIT: Span = Span::millis(300);
 
+/// Longest wait for the disk before grants are used without it. Requests wait for
+/// opened grants no longer than this.
+const SEAL_WAIT: Duration = Duration::from_millis(250);
+
+/// Time between two looks whether more must be opened.
+const SEAL_EVERY: Duration = Duration::from_millis(250);
+
 /// Silence after which a peer is forgotten.
 const FORGET: Span = Span::millis(15_000);
 
@@ -119,7 +127,7 @@
             }
             _ => Answer::Unsure,
         },
-        Ask::Join(..) | Ask::Submit(..) | Ask::Read | Ask::Draw(..) => {
+        Ask::Join(..) | Ask::Submit(..) | Ask::Read | Ask::Draw(..) | Ask::Close(..) => {
             let leader = shared.state().leader;
             match &shared.council {
                 Some(council) if leader == Some(shared.own.address) => {
@@ -145,6 +153,7 @@
         }
         Ask::Read => Input::Read(reply),
         Ask::Draw(lease, demands) => Input::Draw(lease, demands, reply),
+        Ask::Close(lease, opened) => Input::Close(lease, opened, reply),
         Ask::Join(id, disk, _) => Input::Join(joiner(shared, id, disk), reply),
         Ask::Update(_) | Ask::Replica(_) | Ask::Known | Ask::Forward(_) => return Answer::Unsure,
     };
@@ -249,6 +258,7 @@
     }
     let mut state = shared.state();
     let state = &mut *state;
+    let mut bury = None;
     let known = state.peers.get(&member.address);
     let replaced = known.is_none_or(|peer| peer.member.run != member.run);
     if replaced && !direct && known.is_some_and(|peer| peer.heard.until(now) < PEER_GONE) {
@@ -260,11 +270,16 @@
             for places in state.places.values_mut() {
                 places.forget(old.member.run);
             }
+            let same_disk = old.member.keeper.is_some() && old.member.disk == member.disk;
             if let Some(keeper) = old.member.keeper
-                && old.member.disk != member.disk
+                && !same_disk
             {
                 state.lost.push(keeper);
             }
+            if !same_disk && old.lease != 0 {
+                // Its run has ended and nothing can vouch for its grants.
+                bury = Some(old.lease);
+            }
         }
         log::info!(
             "mesh: event=met peer={} domain={} keeper={:?} direct={direct}",
@@ -280,11 +295,18 @@
                 direct: None,
                 version: 0,
                 serving: false,
+                lease: 0,
                 pending: Vec::new(),
                 greeted: false,
             },
         );
     }
+    if let (Some(lease), Some(council)) = (bury, &shared.council)
+        && state.leader == Some(shared.own.address)
+    {
+        let (reply, _) = async_channel::bounded(1);
+        council.send(Input::Close(lease, None, reply));
+    }
     if direct && let Some(peer) = state.peers.get_mut(&member.address) {
         peer.heard = now;
         peer.direct = Some(now);
@@ -329,6 +351,7 @@
     if let Some(peer) = state.peers.get_mut(&update.from.address) {
         peer.version = update.version;
         peer.serving = update.serving && !update.leaving;
+        peer.lease = update.lease;
     }
     let own = shared.council.is_some() && state.joined;
     if !own && update.leader.is_some() {
@@ -398,6 +421,7 @@
         version: state.table.as_ref().map_or(0, |table| table.site().version),
         leader: state.leader,
         founder: state.founder,
+        lease: state.purses.lease(),
         serving: shared.health.serving(),
         leaving: shared.health.stopping(),
     };
@@ -488,6 +512,14 @@
         state.peers.remove(&address);
         log::warn!("mesh: event=forgot peer={address}");
     }
+    if let Some(council) = &shared.council
+        && state.leader == Some(shared.own.address)
+        && Span(now.0) > REPLACE
+    {
+        let mut live: Vec<u64> = state.peers.values().map(|peer| peer.lease).collect();
+        live.push(state.purses.lease());
+        council.send(Input::Bury(live));
+    }
     let confirmed = state.confirmed || Span(now.0) > CONFIRM;
     if confirmed && !state.confirmed && state.table.is_some() {
         log::warn!("config: event=unconfirmed outcome=serving reason=\"no word from the group\"");
@@ -615,7 +647,7 @@
                 Answer::Granted(None) => {
                     let fresh = fastrand::u64(1..);
                     log::warn!("budget: event=lease_closed lease={lease:x} next={fresh:x}");
-                    shared.state().purses = Purses::new(fresh);
+                    shared.state().purses = Purses::new(fresh, shared.council.is_some());
                 }
                 _ => {
                     let mut state = shared.state();
@@ -650,3 +682,69 @@
     let returned = matches!(answer, Answer::Granted(Some(_)));
     log::info!("budget: event=closed lease={lease:x} returned={returned}");
 }
+
+/// Opens grants on the disk as requests need them, on an instance that has one.
+pub async fn seal(shared: Arc<Shared>) {
+    let Some(council) = &shared.council else {
+        return;
+    };
+    loop {
+        let listener = shared.demand.listen();
+        let now = shared.now();
+        let (lease, marks) = {
+            let mut state = shared.state();
+            (state.purses.lease(), state.purses.marks(now))
+        };
+        if let Some(opened) = marks {
+            let (reply, answer) = async_channel::bounded(1);
+            let seal = Seal { lease, opened };
+            council.send(Input::Seal(seal.clone(), reply));
+            let done = async { answer.recv().await.is_ok() };
+            let late = async {
+                Timer::after(SEAL_WAIT).await;
+                false
+            };
+            if done.or(late).await {
+                shared.state().purses.opened(lease, &seal.opened);
+                shared.granted.notify(usize::MAX);
+            } else {
+                unseal(&shared, lease).await;
+            }
+        }
+        let tick = async {
+            Timer::after(SEAL_EVERY).await;
+        };
+        listener.or(tick).await;
+    }
+}
+
+/// Goes on without the disk under another lease: nothing will vouch for its grants
+/// after a crash, and requests don't wait for the disk.
+async fn unseal(shared: &Shared, lease: u64) {
+    let fresh = fastrand::u64(1..);
+    let demands = {
+        let mut state = shared.state();
+        if state.purses.lease() != lease {
+            return;
+        }
+        let demands = state.purses.close();
+        state.purses = Purses::new(fresh, false);
+        demands
+    };
+    log::warn!("budget: event=unsealed lease={lease:x} next={fresh:x} reason=\"the disk is slow\"");
+    shared.demand.notify(usize::MAX);
+    // The old lease is buried where this doesn't arrive.
+    let _ = lead(shared, &Ask::Draw(lease, demands), LEADER_WAIT).await;
+}
+
+/// Gives back what an earlier run on this disk had not opened of its grants.
+pub async fn recover(shared: Arc<Shared>) {
+    let Some(seal) = shared.council.as_ref().and_then(Council::seal).cloned() else {
+        return;
+    };
+    let ask = Ask::Close(seal.lease, Some(seal.opened));
+    while !matches!(lead(&shared, &ask, LEADER_WAIT).await, Answer::Done) {
+        Timer::after(JOIN_EVERY).await;
+    }
+    log::info!("budget: event=recovered lease={:x}", seal.lease);
+}
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -152,6 +152,8 @@
         pool.spawn(mesh::join(Arc::clone(&self.shared)));
         pool.spawn(mesh::confirm(Arc::clone(&self.shared)));
         pool.spawn(mesh::draw(Arc::clone(&self.shared)));
+        pool.spawn(mesh::seal(Arc::clone(&self.shared)));
+        pool.spawn(mesh::recover(Arc::clone(&self.shared)));
         pool.spawn(watch_settings(Arc::clone(&self.shared)));
     }
 
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -18,6 +18,13 @@
         /// Totals of the teams that it names.
         budgets: Vec<(String, u64)>,
     },
+    /// Closes the lease of a dead entry.
+    Close {
+        /// The lease.
+        lease: u64,
+        /// What its disk says was opened of each team's grants, at most.
+        opened: Option<Vec<(String, u64)>>,
+    },
     /// Grants an entry tokens.
     Draw {
         /// The entry's lease.
@@ -32,6 +39,8 @@
 pub enum Outcome {
     /// This configuration number is now the highest.
     Accepted(u64),
+    /// The lease is closed.
+    Closed,
     /// What was granted, or `None` where the lease was closed.
     Granted(Option<Vec<Granted>>),
 }
@@ -65,6 +74,10 @@
                 }
                 Outcome::Accepted(self.version)
             }
+            Command::Close { lease, opened } => {
+                self.allowances.close(lease, opened.as_deref(), at);
+                Outcome::Closed
+            }
             Command::Draw { lease, demands } => {
                 Outcome::Granted(self.allowances.draw(lease, &demands, at))
             }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -414,15 +414,15 @@
                 Err(Short::Exhausted) => return Err(Refuse::Budget),
                 Err(Short::Held) => return Err(Refuse::Grant),
                 Err(Short::Ungranted) if hopeless => {
-                    self.shared.demand.notify(1);
+                    self.shared.demand.notify(2);
                     return Err(Refuse::Grant);
                 }
-                Err(Short::Ungranted) => {}
+                Err(Short::Ungranted | Short::Sealed) => {}
             }
             if now >= give_up || now >= self.deadline {
                 return Err(Refuse::Grant);
             }
-            self.shared.demand.notify(1);
+            self.shared.demand.notify(2);
             let late = async {
                 Timer::after(now.until(give_up).into()).await;
             };
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -66,6 +66,8 @@
     pub version: u64,
     /// Whether it takes callers.
     pub serving: bool,
+    /// Its lease on teams' tokens.
+    pub lease: u64,
     /// Engines whose announcements it may not have.
     pub pending: Vec<String>,
     /// Whether it was sent everything known once.
@@ -148,7 +150,7 @@
 impl State {
     /// Returns the state of a process that has just started.
     #[must_use]
-    pub fn new(settings: &NodeSettings) -> Self {
+    pub fn new(settings: &NodeSettings, sealed: bool) -> Self {
         let bounds = &settings.bounds;
         let window = Span::millis(whole_ms(bounds.repeat_window_s));
         Self {
@@ -158,7 +160,7 @@
             directory: Directory::default(),
             places: Map::default(),
             links: Links::default(),
-            purses: Purses::new(fastrand::u64(1..)),
+            purses: Purses::new(fastrand::u64(1..), sealed),
             ledger_answers: true,
             repeats: Repeats::new(Bound {
                 ratio: bounds.repeat_ratio,
@@ -246,7 +248,7 @@
         council: Option<Council>,
         clock: Clock,
     ) -> Self {
-        let state = Mutex::new(State::new(&settings));
+        let state = Mutex::new(State::new(&settings, council.is_some()));
         Self {
             settings,
             clock,
--- a/crates/ledger/src/allowance.rs
+++ b/crates/ledger/src/allowance.rs
@@ -119,6 +119,32 @@
         Some(granted)
     }
 
+    /// Closes the lease of a dead entry. `opened` bounds what it can have spent of
+    /// each team's grants; without it, all of them count as spent.
+    pub fn close(&mut self, lease: u64, opened: Option<&[(String, u64)]>, at: u64) {
+        if self.leases.remove(&lease).is_none() {
+            return;
+        }
+        self.closed.insert(lease, at);
+        for (team, account) in &mut self.accounts {
+            let Some(grant) = account.grants.remove(&lease) else {
+                continue;
+            };
+            let most = grant.granted - grant.returned;
+            let bound = opened.map(|list| {
+                let found = list.iter().find(|(name, _)| name == team);
+                found.map_or(0, |&(_, opened)| opened)
+            });
+            account.closed += bound.map_or(most, |bound| bound.min(most));
+        }
+    }
+
+    /// Returns the open leases that were last used before `at`.
+    pub fn silent(&self, at: u64) -> impl Iterator<Item = u64> + '_ {
+        let before = self.leases.iter().filter(move |(_, used)| **used < at);
+        before.map(|(&lease, _)| lease)
+    }
+
     fn grant(&mut self, lease: u64, demand: &Demand) -> Granted {
         let account = self.accounts.entry(demand.team.clone()).or_default();
         let grant = account.grants.entry(lease).or_default();
@@ -151,16 +177,21 @@
         let silent = |&(_, &used): &(&u64, &u64)| used + LEASE_MS < at;
         let over: Vec<u64> = self.leases.iter().filter(silent).map(|(&l, _)| l).collect();
         for lease in over {
-            self.leases.remove(&lease);
-            self.closed.insert(lease, at);
-            for account in self.accounts.values_mut() {
-                if let Some(grant) = account.grants.remove(&lease) {
-                    account.closed += grant.granted - grant.returned;
-                }
-            }
+            self.close(lease, None, at);
         }
     }
 
+    /// Returns the sums over all teams: totals, what is used or held, and what is
+    /// held as far as the ledger knows.
+    #[must_use]
+    pub fn sums(&self) -> (u64, u64, u64) {
+        let accounts = self.accounts.values();
+        accounts.fold((0, 0, 0), |(total, used, held), account| {
+            let open: u64 = account.grants.values().map(Grant::held).sum();
+            (total + account.total, used + account.used(), held + open)
+        })
+    }
+
     /// Returns what `team` has used or holds in grants.
     #[must_use]
     pub fn used(&self, team: &str) -> u64 {
--- a/crates/ledger/src/purse.rs
+++ b/crates/ledger/src/purse.rs
@@ -19,6 +19,10 @@
 /// Window of the demand's average.
 const WINDOW: Span = Span::millis(4_000);
 
+/// Part of what a sealed purse holds ahead that is opened: what a crash costs. A
+/// stalled disk is noticed well within it.
+const OPEN_PART: u64 = 5;
+
 /// Age up to which the ledger's answer decides; it's asked again several times a
 /// second while a request is short.
 const FRESH: Span = Span::millis(600);
@@ -38,6 +42,8 @@
     charged: u64,
     /// The part of it that ended requests have used.
     spent: u64,
+    /// What may be charged as far as the disk says, where the purse is sealed.
+    opened: u64,
     /// Largest request that waits for a grant.
     short: u64,
     /// Tokens charged in a window, decayed.
@@ -62,6 +68,8 @@
 pub enum Short {
     /// A grant must come first.
     Ungranted,
+    /// The disk must say first that more is opened.
+    Sealed,
     /// Other entries hold what is left.
     Held,
     /// The team's total doesn't cover it.
@@ -101,15 +109,21 @@
 #[derive(Clone, Debug)]
 pub struct Purses {
     lease: u64,
+    /// Whether no more is charged than the disk says was opened.
+    sealed: bool,
     purses: Map<String, Purse>,
 }
 
 impl Purses {
     /// Returns empty purses under `lease`, a number that was never used before.
+    ///
+    /// Sealed purses charge no more than was opened on a disk before: after a crash
+    /// the rest of their grants is known to be unspent.
     #[must_use]
-    pub fn new(lease: u64) -> Self {
+    pub fn new(lease: u64, sealed: bool) -> Self {
         Self {
             lease,
+            sealed,
             purses: Map::default(),
         }
     }
@@ -133,8 +147,13 @@
     ///
     /// Fails where the purse holds less; the next demand then asks for it.
     pub fn charge(&mut self, team: &str, amount: u64, now: Time) -> Result<(), Short> {
+        let sealed = self.sealed;
         let purse = self.purse(team);
         purse.decay(now);
+        if sealed && purse.rest() >= amount && purse.opened < purse.charged + amount {
+            purse.short = purse.short.max(amount);
+            return Err(Short::Sealed);
+        }
         if purse.rest() >= amount {
             #[allow(clippy::cast_precision_loss)]
             let demand = amount as f64;
@@ -205,11 +224,45 @@
         self.purses.iter_mut().map(close).collect()
     }
 
+    /// Returns what the disk should say is opened, where a purse needs more soon.
+    pub fn marks(&mut self, now: Time) -> Option<Vec<(String, u64)>> {
+        if !self.sealed {
+            return None;
+        }
+        let mut due = false;
+        let mut marks = Vec::with_capacity(self.purses.len());
+        for (team, purse) in &mut self.purses {
+            purse.decay(now);
+            let ahead = purse.ahead(now) - purse.short;
+            let target = purse.charged + purse.short + ahead / OPEN_PART;
+            let target = target.min(purse.granted - purse.returned).max(purse.opened);
+            let least = purse.charged + purse.short + ahead / OPEN_PART / 2;
+            due |= purse.opened < least && target > purse.opened;
+            marks.push((team.clone(), target));
+        }
+        due.then_some(marks)
+    }
+
+    /// Takes in that the disk says so.
+    pub fn opened(&mut self, lease: u64, marks: &[(String, u64)]) {
+        if lease != self.lease {
+            return;
+        }
+        for (team, opened) in marks {
+            let purse = self.purse(team);
+            purse.opened = purse.opened.max(*opened);
+            if purse.rest() >= purse.short && purse.opened >= purse.charged + purse.short {
+                purse.short = 0;
+            }
+        }
+    }
+
     /// Takes in the ledger's answers under `lease`.
     pub fn granted(&mut self, lease: u64, answers: &[Granted], now: Time) {
         if lease != self.lease {
             return;
         }
+        let sealed = self.sealed;
         for answer in answers {
             let purse = self.purse(&answer.team);
             purse.granted = purse.granted.max(answer.granted);
@@ -218,7 +271,7 @@
                 free: answer.free,
                 rest: answer.rest,
             });
-            if purse.rest() >= purse.short {
+            if purse.rest() >= purse.short && !sealed {
                 purse.short = 0;
             }
         }
--- a/crates/ledger/tests/purse.rs
+++ b/crates/ledger/tests/purse.rs
@@ -27,7 +27,7 @@
 fn a_purse_outlasts_a_cut() {
     let mut allowances = Allowances::default();
     allowances.set_total(TEAM, 100_000_000);
-    let mut purses = Purses::new(1);
+    let mut purses = Purses::new(1, false);
     let step = Span::millis(50);
     let mut now = Time(0);
     let mut refused = 0;
@@ -53,17 +53,19 @@
     Restart(u8),
     Total(u16),
     Wait(u16),
+    Seal,
 }
 
 impl Arbitrary for Step {
     fn arbitrary(g: &mut Gen) -> Self {
         let entry = u8::arbitrary(g) % 3;
-        match u8::arbitrary(g) % 10 {
+        match u8::arbitrary(g) % 11 {
             0..=3 => Self::Charge(entry, u16::arbitrary(g) % 500),
             4 => Self::Refund(entry, u16::arbitrary(g) % 300),
             5 | 6 => Self::Renew(entry),
             7 => Self::Repeat(entry),
             8 => Self::Restart(entry),
+            9 => Self::Seal,
             _ if bool::arbitrary(g) => Self::Total(u16::arbitrary(g) % 20_000),
             _ => Self::Wait(u16::arbitrary(g) % 5_000),
         }
@@ -77,11 +79,12 @@
     let mut highest = total;
     allowances.set_total(TEAM, total);
     let mut next_lease = 10;
-    let mut entries: Vec<Purses> = (0..3).map(Purses::new).collect();
+    let mut entries: Vec<Purses> = (0..3).map(|lease| Purses::new(lease, lease == 2)).collect();
     let mut last: BTreeMap<u8, (u64, Vec<Demand>)> = BTreeMap::new();
     let mut charged = [0_u64; 3];
     let mut spent = 0;
     let mut now = Time(1);
+    let mut disk: Vec<(String, u64)> = Vec::new();
     for step in steps {
         match step {
             Step::Charge(entry, amount) => {
@@ -115,10 +118,22 @@
                     entries[usize::from(entry)].granted(*lease, &granted, now);
                 }
             }
+            Step::Seal => {
+                if let Some(marks) = entries[2].marks(now) {
+                    let lease = entries[2].lease();
+                    entries[2].opened(lease, &marks);
+                    disk = marks;
+                }
+            }
             Step::Restart(entry) => {
                 let at = usize::from(entry);
                 spent += std::mem::take(&mut charged[at]);
-                entries[at] = Purses::new(next_lease);
+                if at == 2 {
+                    // What was opened on the disk bounds what was spent.
+                    let lease = entries[at].lease();
+                    allowances.close(lease, Some(&std::mem::take(&mut disk)), now.0 / 1_000);
+                }
+                entries[at] = Purses::new(next_lease, at == 2);
                 next_lease += 1;
             }
             Step::Total(amount) => {
@@ -171,7 +186,7 @@
     let mut now = Time(0);
     let mut used = 0;
     for lease in 1..=8 {
-        let mut purses = Purses::new(lease);
+        let mut purses = Purses::new(lease, false);
         for _ in 0..20 {
             now = now + Span::millis(100);
             if purses.charge(TEAM, 1_000, now).is_ok() {
@@ -195,7 +210,9 @@
     allowances.set_total(TEAM, 1_000_000);
     let mut now = Time(0);
     for round in 0..3_u64 {
-        let mut entries: Vec<Purses> = (0..6).map(|n| Purses::new(100 * round + n)).collect();
+        let mut entries: Vec<Purses> = (0..6)
+            .map(|n| Purses::new(100 * round + n, false))
+            .collect();
         for _ in 0..40 {
             now = now + Span::millis(100);
             for purses in &mut entries {
@@ -222,7 +239,7 @@
 fn small_requests_pass_large_ones_that_do_not_fit() {
     let mut allowances = Allowances::default();
     allowances.set_total(TEAM, 5_000);
-    let mut purses = Purses::new(1);
+    let mut purses = Purses::new(1, false);
     let mut now = Time(0);
     let mut small = 0;
     for _ in 0..10 {
@@ -241,8 +258,8 @@
 fn what_others_hold_is_not_exhausted() {
     let mut allowances = Allowances::default();
     allowances.set_total(TEAM, 5_000);
-    let mut one = Purses::new(1);
-    let mut two = Purses::new(2);
+    let mut one = Purses::new(1, false);
+    let mut two = Purses::new(2, false);
     let now = Time(1);
     let _ = one.charge(TEAM, 4_500, now);
     renew(&mut allowances, &mut one, now);
@@ -251,3 +268,35 @@
     assert_eq!(two.charge(TEAM, 2_000, now), Err(Short::Held));
     assert_eq!(two.charge(TEAM, 6_000, now), Err(Short::Exhausted));
 }
+
+/// Load pattern: an entry with a disk is killed while it holds grants for seconds.
+#[test]
+fn a_crash_costs_a_sealed_purse_little() {
+    let mut allowances = Allowances::default();
+    allowances.set_total(TEAM, 1_000_000);
+    let mut purses = Purses::new(1, true);
+    let mut now = Time(0);
+    let mut disk = Vec::new();
+    let mut used = 0;
+    let mut refused = 0;
+    for round in 0..60 {
+        now = now + Span::millis(100);
+        if purses.charge(TEAM, 1_000, now).is_ok() {
+            purses.settle(1, TEAM, 1_000, 600);
+            used += 600;
+        } else {
+            refused += usize::from(round > 5);
+        }
+        renew(&mut allowances, &mut purses, now);
+        if let Some(marks) = purses.marks(now) {
+            purses.opened(1, &marks);
+            disk = marks;
+        }
+    }
+    let before = allowances.used(TEAM);
+    allowances.close(1, Some(&disk), now.0 / 1_000);
+    let lost = allowances.used(TEAM) - used;
+    assert_eq!(refused, 0, "requests refused for want of an opened grant");
+    assert!(lost < 25_000, "{lost} lost of {} held", before - used);
+    assert!(before - used > 60_000, "the purse holds seconds of demand");
+}
