--- a/crates/fleet/src/mesh.rs
+++ b/crates/fleet/src/mesh.rs
@@ -6,6 +6,7 @@
 use consensus::Envelope;
 use ledger::allowance::Demand;
 use ledger::allowance::Granted;
+use ledger::allowance::Lease;
 use routing::call::Part;
 use routing::directory::Announcement;
 use routing::placement::Load;
@@ -90,7 +91,7 @@
     /// Asks for the configuration that the receiver has in force.
     Known,
     /// Demands of an entry under its lease.
-    Draw(u64, Vec<Demand>),
+    Draw(Lease, Vec<Demand>),
     /// Closes the lease of an earlier run, of which this was opened at most.
     Close(u64, Option<Vec<(String, u64)>>),
     /// A question to the leader, passed on by a process that may reach it.
--- a/crates/gateway/src/council.rs
+++ b/crates/gateway/src/council.rs
@@ -28,6 +28,7 @@
 use durable::LogDisk;
 use fleet::mesh::Answer;
 use ledger::allowance::Demand;
+use ledger::allowance::Lease;
 use store::Folder;
 use store::Options;
 use thiserror::Error;
@@ -75,7 +76,7 @@
     /// Asks for the newest accepted configuration, for certain.
     Read(Reply),
     /// Demands of an entry under its lease.
-    Draw(u64, Vec<Demand>, Reply),
+    Draw(Lease, Vec<Demand>, Reply),
     /// Makes durable what this entry opens of its grants.
     Seal(Seal, Reply),
     /// Closes the lease of a dead entry.
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -629,12 +629,13 @@
     loop {
         let listener = shared.demand.listen();
         let now = shared.now();
-        let (lease, demands) = {
+        let (terms, demands) = {
             let mut state = shared.state();
-            (state.purses.lease(), state.purses.demands(now))
+            (state.purses.terms(), state.purses.demands(now))
         };
+        let lease = terms.id;
         if !demands.is_empty() {
-            let ask = Ask::Draw(lease, demands);
+            let ask = Ask::Draw(terms, demands);
             match lead(&shared, &ask, LEADER_WAIT).await {
                 Answer::Granted(Some(granted)) => {
                     let now = shared.now();
@@ -671,14 +672,15 @@
 
 /// Gives all unused grants back before a planned stop.
 pub async fn close_purses(shared: &Shared) {
-    let (lease, demands) = {
+    let (terms, demands) = {
         let mut state = shared.state();
-        (state.purses.lease(), state.purses.close())
+        (state.purses.terms(), state.purses.close())
     };
     if demands.is_empty() {
         return;
     }
-    let answer = lead(shared, &Ask::Draw(lease, demands), CLOSE_WAIT).await;
+    let lease = terms.id;
+    let answer = lead(shared, &Ask::Draw(terms, demands), CLOSE_WAIT).await;
     let returned = matches!(answer, Answer::Granted(Some(_)));
     log::info!("budget: event=closed lease={lease:x} returned={returned}");
 }
@@ -722,19 +724,20 @@
 /// after a crash, and requests don't wait for the disk.
 async fn unseal(shared: &Shared, lease: u64) {
     let fresh = fastrand::u64(1..);
-    let demands = {
+    let (terms, demands) = {
         let mut state = shared.state();
         if state.purses.lease() != lease {
             return;
         }
+        let terms = state.purses.terms();
         let demands = state.purses.close();
         state.purses = Purses::new(fresh, false);
-        demands
+        (terms, demands)
     };
     log::warn!("budget: event=unsealed lease={lease:x} next={fresh:x} reason=\"the disk is slow\"");
     shared.demand.notify(usize::MAX);
     // The old lease is buried where this doesn't arrive.
-    let _ = lead(shared, &Ask::Draw(lease, demands), LEADER_WAIT).await;
+    let _ = lead(shared, &Ask::Draw(terms, demands), LEADER_WAIT).await;
 }
 
 /// Gives back what an earlier run on this disk had not opened of its grants.
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -3,6 +3,7 @@
 use ledger::Allowances;
 use ledger::allowance::Demand;
 use ledger::allowance::Granted;
+use ledger::allowance::Lease;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -28,7 +29,7 @@
     /// Grants an entry tokens.
     Draw {
         /// The entry's lease.
-        lease: u64,
+        lease: Lease,
         /// What it asks for.
         demands: Vec<Demand>,
     },
--- a/crates/ledger/src/allowance.rs
+++ b/crates/ledger/src/allowance.rs
@@ -16,7 +16,10 @@
 
 /// Part of what is unspent that all entries may hold ahead, unless a request needs
 /// more: what dies with entries then never takes more than this part of the rest.
-const HELD_PART: u64 = 4;
+const HELD_PART: u64 = 3;
+
+/// Part of what a sealed entry holds that a crash can cost.
+const SEALED_PART: u64 = 4;
 
 /// Log time after which a silent lease is closed, in milliseconds. Longer than any
 /// partition that an entry should survive with its grants.
@@ -29,9 +32,20 @@
     returned: u64,
     /// What the entry has said to be spent; the rest may be too.
     spent: u64,
+    /// Whether the entry's disk bounds what a crash can cost.
+    sealed: bool,
 }
 
 impl Grant {
+    /// Returns what a crash of the entry can cost.
+    fn risk(&self) -> u64 {
+        if self.sealed {
+            self.held() / SEALED_PART
+        } else {
+            self.held()
+        }
+    }
+
     /// Returns what the entry may still spend, as far as the ledger knows.
     fn held(&self) -> u64 {
         self.granted - self.returned - self.spent
@@ -57,6 +71,15 @@
     }
 }
 
+/// What an entry draws under.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lease {
+    /// Drawn by the entry, never twice.
+    pub id: u64,
+    /// Whether the entry's disk bounds what a crash can cost.
+    pub sealed: bool,
+}
+
 /// An entry's demand for one team.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Demand {
@@ -106,11 +129,11 @@
     /// Carries out an entry's demands under `lease` at log time `at`.
     ///
     /// Returns `None` where the lease was closed: the entry must begin another.
-    pub fn draw(&mut self, lease: u64, demands: &[Demand], at: u64) -> Option<Vec<Granted>> {
-        if self.closed.contains_key(&lease) {
+    pub fn draw(&mut self, lease: Lease, demands: &[Demand], at: u64) -> Option<Vec<Granted>> {
+        if self.closed.contains_key(&lease.id) {
             return None;
         }
-        self.leases.insert(lease, at);
+        self.leases.insert(lease.id, at);
         let granted = demands
             .iter()
             .map(|demand| self.grant(lease, demand))
@@ -145,9 +168,10 @@
         before.map(|(&lease, _)| lease)
     }
 
-    fn grant(&mut self, lease: u64, demand: &Demand) -> Granted {
+    fn grant(&mut self, lease: Lease, demand: &Demand) -> Granted {
         let account = self.accounts.entry(demand.team.clone()).or_default();
-        let grant = account.grants.entry(lease).or_default();
+        let grant = account.grants.entry(lease.id).or_default();
+        grant.sealed = lease.sealed;
         // An entry can't give back more than it was granted.
         grant.returned = grant.returned.max(demand.returned.min(grant.granted));
         let rest = grant.granted - grant.returned;
@@ -157,10 +181,16 @@
         let held: u64 = account.grants.values().map(Grant::held).sum();
         let need = demand.need.saturating_sub(granted);
         let want = demand.want.max(demand.need).saturating_sub(granted);
-        let room = ((free + held) / HELD_PART).saturating_sub(held);
+        let risk: u64 = account.grants.values().map(Grant::risk).sum();
+        let room = ((free + held) / HELD_PART).saturating_sub(risk);
+        let room = if lease.sealed {
+            room * SEALED_PART
+        } else {
+            room
+        };
         let more = want.min(room.max(need)).min(free);
         let mut own = 0;
-        if let Some(grant) = account.grants.get_mut(&lease) {
+        if let Some(grant) = account.grants.get_mut(&lease.id) {
             own = grant.held();
             grant.granted += more;
         }
--- a/crates/ledger/src/purse.rs
+++ b/crates/ledger/src/purse.rs
@@ -10,6 +10,7 @@
 
 use crate::allowance::Demand;
 use crate::allowance::Granted;
+use crate::allowance::Lease;
 
 /// Demand that a purse holds ahead: an entry that is cut off from the ledger goes on
 /// for this long. Cuts of single machines last up to nine seconds; what a dead entry
@@ -128,12 +129,21 @@
         }
     }
 
-    /// Returns the lease.
+    /// Returns the lease's number.
     #[must_use]
     pub fn lease(&self) -> u64 {
         self.lease
     }
 
+    /// Returns what the purses draw under.
+    #[must_use]
+    pub fn terms(&self) -> Lease {
+        Lease {
+            id: self.lease,
+            sealed: self.sealed,
+        }
+    }
+
     fn purse(&mut self, team: &str) -> &mut Purse {
         if !self.purses.contains_key(team) {
             self.purses.insert(team.to_owned(), Purse::default());
--- a/crates/ledger/tests/purse.rs
+++ b/crates/ledger/tests/purse.rs
@@ -7,6 +7,7 @@
 use ledger::Allowances;
 use ledger::Purses;
 use ledger::allowance::Demand;
+use ledger::allowance::Lease;
 use ledger::purse::Short;
 use quickcheck::Arbitrary;
 use quickcheck::Gen;
@@ -14,10 +15,14 @@
 
 const TEAM: &str = "team";
 
+fn plain(id: u64) -> Lease {
+    Lease { id, sealed: false }
+}
+
 fn renew(allowances: &mut Allowances, purses: &mut Purses, now: Time) {
     let demands = purses.demands(now);
     let lease = purses.lease();
-    let granted = allowances.draw(lease, &demands, now.0 / 1_000);
+    let granted = allowances.draw(purses.terms(), &demands, now.0 / 1_000);
     purses.granted(lease, &granted.expect("the lease is open"), now);
 }
 
@@ -80,7 +85,7 @@
     allowances.set_total(TEAM, total);
     let mut next_lease = 10;
     let mut entries: Vec<Purses> = (0..3).map(|lease| Purses::new(lease, lease == 2)).collect();
-    let mut last: BTreeMap<u8, (u64, Vec<Demand>)> = BTreeMap::new();
+    let mut last: BTreeMap<u8, (Lease, Vec<Demand>)> = BTreeMap::new();
     let mut charged = [0_u64; 3];
     let mut spent = 0;
     let mut now = Time(1);
@@ -104,18 +109,19 @@
             Step::Renew(entry) => {
                 let at = usize::from(entry);
                 let demands = entries[at].demands(now);
-                let lease = entries[at].lease();
-                if let Some(granted) = allowances.draw(lease, &demands, now.0 / 1_000) {
+                let terms = entries[at].terms();
+                let lease = terms.id;
+                if let Some(granted) = allowances.draw(terms, &demands, now.0 / 1_000) {
                     entries[at].granted(lease, &granted, now);
                 }
-                last.insert(entry, (lease, demands));
+                last.insert(entry, (terms, demands));
             }
             Step::Repeat(entry) => {
                 // The answer of an earlier message arrives late or again.
-                if let Some((lease, demands)) = last.get(&entry)
-                    && let Some(granted) = allowances.draw(*lease, demands, now.0 / 1_000)
+                if let Some((terms, demands)) = last.get(&entry)
+                    && let Some(granted) = allowances.draw(*terms, demands, now.0 / 1_000)
                 {
-                    entries[usize::from(entry)].granted(*lease, &granted, now);
+                    entries[usize::from(entry)].granted(terms.id, &granted, now);
                 }
             }
             Step::Seal => {
@@ -170,11 +176,11 @@
         returned: 0,
         spent: 0,
     };
-    let first = allowances.draw(1, std::slice::from_ref(&demand), 0);
+    let first = allowances.draw(plain(1), std::slice::from_ref(&demand), 0);
     assert_eq!(first.expect("open")[0].granted, 200);
     // Another lease is used long after; the first one has been silent.
-    let _ = allowances.draw(2, &[], 200_000);
-    assert_eq!(allowances.draw(1, &[demand], 200_001), None);
+    let _ = allowances.draw(plain(2), &[], 200_000);
+    assert_eq!(allowances.draw(plain(1), &[demand], 200_001), None);
     assert_eq!(allowances.used(TEAM), 200, "what it held counts as spent");
 }
 
@@ -196,7 +202,7 @@
             renew(&mut allowances, &mut purses, now);
         }
         let demands = purses.close();
-        let closed = allowances.draw(lease, &demands, now.0 / 1_000);
+        let closed = allowances.draw(plain(lease), &demands, now.0 / 1_000);
         assert!(closed.is_some(), "the lease is open");
     }
     assert_eq!(allowances.used(TEAM), used);
