Allow a gateway's peers few streams, one update at a time

Cause: on the grown second site processes ended for want of memory (88 MB): RSS was 33 MB once 30 connections stood, of which the transport kept some 0.8 MB each for 8,192 streams that a peer might open, and grew in a cut by an update every 200 ms to each silent peer (line event=memory). Ruled out: the log (600 entries of a kilobyte), buffers of callers. Change: 128 streams where only questions are asked; one update under way to a peer, one in 0.9 s to a silent one.

--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -149,7 +149,13 @@
             agent: agent.clone(),
             keeper: keeper.clone(),
         };
-        let node = Node::bind(pool, settings.listen, &keys, roles.service())?;
+        let node = Node::bind(
+            pool,
+            settings.listen,
+            &keys,
+            roles.service(),
+            fleet::node::MANY_STREAMS,
+        )?;
         let _ = sender.try_send(node.clone());
         if let Some(agent) = &agent {
             agent.start(&node);
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -47,8 +47,13 @@
 /// How often an idle connection is kept alive.
 const KEEP_ALIVE: Duration = Duration::from_millis(1_500);
 
-/// Most streams that a peer may have open.
-const MAX_STREAMS: u32 = 8_192;
+/// Most streams that a peer may have open where streams of frames are served: one
+/// for each request under way.
+pub const MANY_STREAMS: u32 = 8_192;
+
+/// Most streams that a peer may have open where only questions are asked. The
+/// transport keeps some hundred bytes for each that it allows.
+pub const FEW_STREAMS: u32 = 128;
 
 /// Bytes that a stream may have under way.
 const STREAM_WINDOW: u32 = 1 << 20;
@@ -129,12 +134,13 @@
     endpoint: quinn::Endpoint,
     peers: Arc<Mutex<Map<SocketAddr, Arc<Peer>>>>,
     address: SocketAddr,
+    streams: u32,
     closed: Arc<AtomicBool>,
 }
 
-fn transport() -> Arc<quinn::TransportConfig> {
+fn transport(streams: u32) -> Arc<quinn::TransportConfig> {
     let mut config = quinn::TransportConfig::default();
-    config.max_concurrent_bidi_streams(MAX_STREAMS.into());
+    config.max_concurrent_bidi_streams(streams.into());
     config.max_concurrent_uni_streams(0_u32.into());
     config.stream_receive_window(STREAM_WINDOW.into());
     config.keep_alive_interval(Some(KEEP_ALIVE));
@@ -143,28 +149,28 @@
     Arc::new(config)
 }
 
-fn server_config(keys: &Keys) -> Result<quinn::ServerConfig, FleetError> {
+fn server_config(keys: &Keys, streams: u32) -> Result<quinn::ServerConfig, FleetError> {
     let mut tls = keys.server()?;
     tls.alpn_protocols = vec![PROTOCOL.to_vec()];
     let quic = QuicServerConfig::try_from(tls);
     let quic = quic.map_err(|e| FleetError::Connect(e.to_string()))?;
     let mut config = quinn::ServerConfig::with_crypto(Arc::new(quic));
-    config.transport_config(transport());
+    config.transport_config(transport(streams));
     Ok(config)
 }
 
-fn client_config(keys: &Keys) -> Result<quinn::ClientConfig, FleetError> {
+fn client_config(keys: &Keys, streams: u32) -> Result<quinn::ClientConfig, FleetError> {
     let mut tls = keys.client()?;
     tls.alpn_protocols = vec![PROTOCOL.to_vec()];
     let quic = QuicClientConfig::try_from(tls);
     let quic = quic.map_err(|e| FleetError::Connect(e.to_string()))?;
     let mut config = quinn::ClientConfig::new(Arc::new(quic));
-    config.transport_config(transport());
+    config.transport_config(transport(streams));
     Ok(config)
 }
 
 impl Node {
-    /// Binds `address` and serves peers with `service`.
+    /// Binds `address` and serves peers with `service`, `streams` at once for each.
     ///
     /// # Errors
     ///
@@ -174,21 +180,23 @@
         address: SocketAddr,
         keys: &Keys,
         service: Service,
+        streams: u32,
     ) -> Result<Self, FleetError> {
         let socket = UdpSocket::bind(address)?;
         let address = socket.local_addr()?;
         let mut endpoint = quinn::Endpoint::new(
             quinn::EndpointConfig::default(),
-            Some(server_config(keys)?),
+            Some(server_config(keys, streams)?),
             socket,
             PoolRuntime::new(pool),
         )?;
-        endpoint.set_default_client_config(client_config(keys)?);
+        endpoint.set_default_client_config(client_config(keys, streams)?);
         pool.spawn(accept(pool.clone(), endpoint.clone(), service));
         Ok(Self {
             endpoint,
             peers: Arc::default(),
             address,
+            streams,
             closed: Arc::default(),
         })
     }
@@ -205,8 +213,8 @@
     ///
     /// Fails where the keys can't be used; the earlier ones stay in use.
     pub fn rotate(&mut self, keys: &Keys) -> Result<(), FleetError> {
-        let server = server_config(keys)?;
-        let client = client_config(keys)?;
+        let server = server_config(keys, self.streams)?;
+        let client = client_config(keys, self.streams)?;
         self.endpoint.set_server_config(Some(server));
         self.endpoint.set_default_client_config(client);
         Ok(())
--- a/crates/fleet/tests/keys.rs
+++ b/crates/fleet/tests/keys.rs
@@ -36,7 +36,7 @@
     };
     let keys = Keys::open(folder, name).unwrap();
     let address = SocketAddr::from(([127, 0, 0, 1], 0));
-    Node::bind(pool, address, &keys, service).unwrap()
+    Node::bind(pool, address, &keys, service, fleet::node::MANY_STREAMS).unwrap()
 }
 
 fn reaches(from: &Node, to: &Node) -> bool {
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -39,6 +39,10 @@
 /// Least time between two updates, so that news that come together leave together.
 const GATHER: Duration = Duration::from_millis(8);
 
+/// Least time between two updates to a peer that doesn't answer. A peer that is back
+/// speaks up itself.
+const SILENT_EVERY: Span = Span::millis(900);
+
 /// Longest wait for a peer's answer to an update.
 const UPDATE_WAIT: Span = Span::millis(600);
 
@@ -76,6 +80,9 @@
 /// Time between two looks whether more must be opened.
 const SEAL_EVERY: Duration = Duration::from_millis(250);
 
+/// Time between two lines on the memory in use.
+const MEMORY_EVERY: Duration = Duration::from_secs(5);
+
 /// Silence after which a peer is forgotten.
 const FORGET: Span = Span::millis(15_000);
 
@@ -298,6 +305,7 @@
                 lease: 0,
                 pending: Vec::new(),
                 greeted: false,
+                telling: None,
             },
         );
     }
@@ -388,6 +396,7 @@
     let mut ids = Vec::new();
     if let Some(peer) = state.peers.get_mut(&address) {
         ids = std::mem::take(&mut peer.pending);
+        peer.telling = Some(now);
         if !peer.greeted {
             peer.greeted = true;
             ids = state
@@ -433,23 +442,39 @@
     SocketAddr::from((*control.ip(), shared.settings.ports.0))
 }
 
-fn targets(shared: &Shared) -> Vec<SocketAddr> {
+fn targets(shared: &Shared, now: Time) -> Vec<SocketAddr> {
     let state = shared.state();
     let seeds = state.seeds.iter().map(|&seed| mesh_address(shared, seed));
     let mut list: Vec<SocketAddr> = state.peers.keys().copied().chain(seeds).collect();
     list.sort();
     list.dedup();
-    list.retain(|&address| address != shared.own.address);
+    list.retain(|address| {
+        let peer = state.peers.get(address);
+        *address != shared.own.address && peer.is_none_or(|peer| due(peer, now))
+    });
     list
 }
 
+/// Returns whether a peer should be sent an update now.
+///
+/// One update is under way to a peer at a time, and those to a silent peer are rare:
+/// each takes memory for as long as the transport tries.
+fn due(peer: &Peer, now: Time) -> bool {
+    let silent = peer.direct.is_none_or(|at| at.until(now) > NEAR);
+    match peer.telling {
+        Some(at) if silent => at.until(now) > SILENT_EVERY,
+        Some(at) => at.until(now) > UPDATE_WAIT,
+        None => true,
+    }
+}
+
 /// Tells all peers the news, for as long as the process runs.
 pub async fn tell(shared: Arc<Shared>) {
     loop {
         let listener = shared.news.listen();
         let now = shared.now();
         name_founder(&shared, now);
-        for address in targets(&shared) {
+        for address in targets(&shared, now) {
             let (update, ids) = update_for(&shared, address, now);
             let shared = Arc::clone(&shared);
             let pool = shared.pool.clone();
@@ -469,6 +494,9 @@
     let ask = Ask::Update(Box::new(update));
     match peer(shared, address, ask, UPDATE_WAIT).await {
         Some(Answer::Version(theirs)) => {
+            if let Some(peer) = shared.state().peers.get_mut(&address) {
+                peer.telling = None;
+            }
             if theirs > version {
                 pull(shared, address).await;
             }
@@ -487,6 +515,17 @@
     }
 }
 
+/// Logs the memory in use, from the operating system's own figure in pages.
+pub async fn report_memory() {
+    loop {
+        match std::fs::read_to_string("/proc/self/statm") {
+            Ok(text) => log::info!("gateway: event=memory pages=\"{}\"", text.trim_end()),
+            Err(error) => log::debug!("gateway: event=memory outcome=failed reason=\"{error}\""),
+        }
+        Timer::after(MEMORY_EVERY).await;
+    }
+}
+
 /// Drops what is over.
 fn sweep(shared: &Shared, now: Time) {
     let mut state = shared.state();
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -117,7 +117,13 @@
             settings.seeds
         );
         let shared = Arc::new(Shared::new(settings, pool, own, council, clock));
-        let node = Node::bind(pool, address, &Keys::ephemeral()?, service(&shared))?;
+        let node = Node::bind(
+            pool,
+            address,
+            &Keys::ephemeral()?,
+            service(&shared),
+            fleet::node::FEW_STREAMS,
+        )?;
         // Set once, right after the start.
         let _ = shared.node.set(node);
         let gateway = Self { shared };
@@ -153,6 +159,7 @@
         pool.spawn(mesh::confirm(Arc::clone(&self.shared)));
         pool.spawn(mesh::draw(Arc::clone(&self.shared)));
         pool.spawn(mesh::seal(Arc::clone(&self.shared)));
+        pool.spawn(mesh::report_memory());
         pool.spawn(mesh::recover(Arc::clone(&self.shared)));
         pool.spawn(watch_settings(Arc::clone(&self.shared)));
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -72,6 +72,8 @@
     pub pending: Vec<String>,
     /// Whether it was sent everything known once.
     pub greeted: bool,
+    /// When the update was sent that it has not answered yet.
+    pub telling: Option<Time>,
 }
 
 /// What a process knows.
--- a/crates/mulberryctl/src/site.rs
+++ b/crates/mulberryctl/src/site.rs
@@ -197,7 +197,13 @@
         }),
         open: std::sync::Arc::new(|_, _| Box::pin(std::future::ready(())) as BoxFuture<()>),
     };
-    Ok(Node::bind(pool, loopback(), &keys, service)?)
+    Ok(Node::bind(
+        pool,
+        loopback(),
+        &keys,
+        service,
+        fleet::node::MANY_STREAMS,
+    )?)
 }
 
 impl LocalSite {
