--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -123,6 +123,7 @@
         Control::Leave(id) => left(shared, &id, body),
         Control::Submit => submit(shared, body).await,
         Control::Fetch => fetch(shared).await,
+        Control::Metrics => (200, shared.meter.page().into_bytes()),
         Control::Unknown => (404, fault("no such call")),
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`front`]: callers' connections.
 //! - [`links`]: idle connections to engines.
 //! - [`mesh`]: news between processes and questions to the leader.
+//! - [`meter`]: counters and latency histograms.
 //! - [`process`]: a whole process.
 //! - [`record`]: the replicated state.
 //! - [`relay`]: one request's way.
@@ -18,6 +19,7 @@
 pub mod front;
 pub mod links;
 pub mod mesh;
+pub mod meter;
 pub mod process;
 pub mod record;
 pub mod relay;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -69,12 +69,17 @@
 }
 
 impl Gateway {
-    /// Starts the process of `settings` on `pool`.
+    /// Starts the process of `settings` on `pool`; metrics are also served on the
+    /// port `metrics`.
     ///
     /// # Errors
     ///
     /// Fails where the data folder, the transport or an address can't be used.
-    pub fn spawn(pool: &Pool, settings: NodeSettings) -> Result<Self, StartError> {
+    pub fn spawn(
+        pool: &Pool,
+        settings: NodeSettings,
+        metrics: Option<u16>,
+    ) -> Result<Self, StartError> {
         let clock = Clock::start();
         let address = SocketAddr::from((settings.ip, settings.ports.0));
         let (outputs, taken) = async_channel::unbounded();
@@ -127,12 +132,12 @@
         // Set once, right after the start.
         let _ = shared.node.set(node);
         let gateway = Self { shared };
-        gateway.bind()?;
+        gateway.bind(metrics)?;
         gateway.run(taken, envelopes);
         Ok(gateway)
     }
 
-    fn bind(&self) -> Result<(), StartError> {
+    fn bind(&self, metrics: Option<u16>) -> Result<(), StartError> {
         let listen = &self.shared.settings.listen;
         let bound = |address, result: io::Result<()>| {
             result.map_err(|source| StartError::Bind { address, source })
@@ -140,7 +145,9 @@
         if let Some(address) = listen.callers {
             bound(address, front::bind(&self.shared, address))?;
         }
-        for address in [listen.ready, listen.control].into_iter().flatten() {
+        let metrics = metrics.map(|port| SocketAddrV4::new(self.shared.settings.ip, port));
+        let plain = [listen.ready, listen.control, metrics];
+        for address in plain.into_iter().flatten() {
             bound(address, control::bind(&self.shared, address))?;
         }
         Ok(())
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -51,10 +51,6 @@
 /// Engines that are tried for one request before it's refused, where none ran it.
 const MOST_TRIES: usize = 3;
 
-/// Time after the order to stop in which any request is taken: the balancer takes
-/// two questions, a second apart, and new connections may be on their way.
-const STOP_TAKES: Span = Span::millis(2_800);
-
 /// Events that may be on their way when a stream is cut, counted as delivered.
 const IN_FLIGHT: u64 = 2;
 
@@ -190,13 +186,14 @@
 impl Flight<'_> {
     /// Notes the first bytes of the answer.
     fn started(&mut self, took: Span) {
+        let now = self.shared.now();
         let mut state = self.shared.state();
         if let Some(places) = state.places.get_mut(self.service)
             && self.load.reading > 0
         {
             #[allow(clippy::cast_precision_loss)]
             let took_ms = took.0 as f64 / 1e3;
-            self.load = places.started(&self.choice, took_ms);
+            self.load = places.started(&self.choice, took_ms, now);
         }
     }
 }
@@ -271,6 +268,7 @@
     let id = request.call.id.as_deref().unwrap_or("-");
     let took = request.arrived.until(shared.now()).as_millis();
     end.unwrap_or_else(|| {
+        shared.meter.left();
         log::info!("request: id={id} event=end outcome=caller_left ms={took}");
         End::Cut
     })
@@ -297,6 +295,7 @@
         .room_ms()
         .map(|room| admission::retry_after_ms(room, left));
     let id = request.call.id.as_deref();
+    shared.meter.refused(refuse.status());
     log::info!(
         "request: id={} event=end outcome=refused status={} reason=\"{}\" cause={refuse:?} ms={spent} left_ms={left} after_ms={} prompt={}",
         id.unwrap_or("-"),
@@ -342,8 +341,12 @@
         .map_or(DEFAULT_PATIENCE, Span::millis);
     let limit = Span::millis(route.timeout_ms).min(patience);
     let deadline = request.arrived + limit;
-    if stops_before(shared, request.arrived, deadline) {
-        return Err(Refuse::Stopping);
+    if let Some(stopped) = shared.stopped_at() {
+        let since = stopped.until(request.arrived);
+        let left = request.arrived.until(deadline);
+        if !admission::takes_while_stopping(since, left, shared.grace()) {
+            return Err(Refuse::Stopping);
+        }
     }
     let backend = table.service(service).and_then(|s| s.backend.as_ref());
     let mut way = Way {
@@ -371,16 +374,6 @@
     way.run(caller).await
 }
 
-/// Returns whether a planned stop may end before `deadline` a request that came long
-/// after the balancer was told: it still sends callers where a failure domain has
-/// few other processes.
-fn stops_before(shared: &Shared, arrived: Time, deadline: Time) -> bool {
-    let Some(stopped) = shared.stopped_at() else {
-        return false;
-    };
-    arrived > stopped + STOP_TAKES && deadline > stopped + shared.grace()
-}
-
 impl<'a> Way<'a> {
     fn left(&self) -> Span {
         self.shared.now().until(self.deadline)
@@ -460,6 +453,7 @@
                 }
                 Sent::Cut => {
                     let took = self.request.arrived.until(self.shared.now()).as_millis();
+                    self.shared.meter.cut();
                     log::info!(
                         "request: id={id} event=end outcome=cut engine={} events={} ms={took}",
                         engine.id,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -23,6 +23,7 @@
 use fleet::mesh::Sent;
 use host::Health;
 use host::Pool;
+use host::metrics::Metrics;
 use ledger::Purses;
 use platform::settings::NodeSettings;
 use routing::Directory;
@@ -36,6 +37,7 @@
 
 use crate::council::Council;
 use crate::links::Links;
+use crate::meter::Meter;
 
 /// Silence after which an engine isn't used, as a multiple of the time between its
 /// announcements; they may arrive seconds late.
@@ -124,6 +126,8 @@
     pub own: Member,
     /// The replica, on an instance with a disk.
     pub council: Option<Council>,
+    /// The metrics.
+    pub meter: Meter,
     /// Whether new callers are welcome.
     pub health: Health,
     /// Notified when grants arrive.
@@ -257,6 +261,7 @@
             pool: pool.clone(),
             own,
             council,
+            meter: Meter::register(&Metrics::default()),
             health: Health::default(),
             granted: Event::new(),
             news: Event::new(),
@@ -341,6 +346,9 @@
         let now = self.now();
         state.place_engines(&self.settings, now);
         drop(state);
+        self.meter
+            .version
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
         log::info!("config: event=in_force version={version} earlier={present} routes={routes}");
         self.news.notify(usize::MAX);
         true
--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -8,6 +8,7 @@
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
 /// A gauge of whole numbers.
@@ -16,6 +17,14 @@
 /// A counter.
 pub type Count = Counter<u64, AtomicU64>;
 
+/// A histogram of times in seconds.
+pub type Latency = Histogram;
+
+/// Upper bounds of the buckets, in seconds: from a cached read to the longest stream.
+const BUCKETS: [f64; 12] = [
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.5, 3.0, 6.0, 15.0,
+];
+
 /// The metrics of one process.
 #[derive(Clone, Debug)]
 pub struct Metrics {
@@ -48,6 +57,14 @@
         gauge
     }
 
+    /// Registers a histogram of times.
+    #[must_use]
+    pub fn latency(&self, name: &str, help: &str) -> Latency {
+        let latency = Histogram::new(BUCKETS);
+        self.lock().register(name, help, latency.clone());
+        latency
+    }
+
     /// Returns the page.
     #[must_use]
     pub fn page(&self) -> String {
--- a/crates/mulberryd/src/main.rs
+++ b/crates/mulberryd/src/main.rs
@@ -29,6 +29,7 @@
         "gateway",
         "forward requests, with the platform's settings",
     );
+    options.optopt("", "metrics", "port of the gateway's metrics", "PORT");
     options.optflag("h", "help", "print this help");
     options.optflag("V", "version", "print the version");
     options
@@ -50,12 +51,12 @@
 }
 
 /// Runs the role that forwards requests as they are.
-fn forward(settings: NodeSettings) -> Result<()> {
+fn forward(settings: NodeSettings, metrics: Option<u16>) -> Result<()> {
     let _logger = host::logs::start_bounded(GATEWAY_LOG)?;
     let orders = host::signals::orders()?;
     let pool = Pool::start(1);
     let name = settings.name.clone();
-    let gateway = Gateway::spawn(&pool, settings)?;
+    let gateway = Gateway::spawn(&pool, settings, metrics)?;
     futures_lite::future::block_on(async {
         while let Ok(order) = orders.recv().await {
             match order {
@@ -71,7 +72,7 @@
 }
 
 /// Reads the platform's settings and runs the gateway, or only checks them.
-fn start_gateway(check: bool) -> ExitCode {
+fn start_gateway(check: bool, metrics: Option<u16>) -> ExitCode {
     let settings = match NodeSettings::open() {
         Ok(settings) => settings,
         Err(error) => {
@@ -83,7 +84,7 @@
         println!("{}: no faults", NodeSettings::path().display());
         return ExitCode::SUCCESS;
     }
-    match forward(settings) {
+    match forward(settings, metrics) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("mulberryd: {error}");
@@ -110,7 +111,14 @@
         return ExitCode::SUCCESS;
     }
     if matches.opt_present("gateway") {
-        return start_gateway(matches.opt_present("check"));
+        let metrics = match matches.opt_get("metrics") {
+            Ok(metrics) => metrics,
+            Err(error) => {
+                eprintln!("mulberryd: --metrics: {error}");
+                return ExitCode::from(2);
+            }
+        };
+        return start_gateway(matches.opt_present("check"), metrics);
     }
     let [file] = matches.free.as_slice() else {
         eprintln!("mulberryd: one FILE is expected\n{USAGE}");
--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -6,6 +6,8 @@
 //! find room because Retry-After is the time in which the backlog ahead is worked
 //! off.
 
+use base::Span;
+
 /// Part of the latency target within which a request must be expected to start, by
 /// urgency. The rest covers what the estimate misses.
 const WITHIN: [f64; 3] = [1.0, 0.85, 0.7];
@@ -45,3 +47,18 @@
     let most = (AFTER_PART * left_ms as f64).max(AFTER_MS.0);
     room_ms.clamp(AFTER_MS.0, AFTER_MS.1).min(most) as u64
 }
+
+/// Time after the order to stop in which any request is taken: the balancer takes
+/// two questions, a second apart, and new connections may be on their way.
+const STOP_TAKES: Span = Span::millis(2_800);
+
+/// Returns whether a process that was told to stop `since` ago takes a request that
+/// may last `left`, where all work ends after `grace`.
+///
+/// Load pattern: a failure domain whose processes are stopped in turn; the balancer
+/// sends callers to a stopping process where few others are left. What may outlive
+/// the process is refused as not run, and the caller goes elsewhere at once.
+#[must_use]
+pub fn takes_while_stopping(since: Span, left: Span, grace: Span) -> bool {
+    since <= STOP_TAKES || since.0 + left.0 <= grace.0
+}
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -42,6 +42,12 @@
 /// Weight of the newest observation of an engine's speed and failures.
 const LEARN: f64 = 0.15;
 
+/// Bounds on one observation, so that a single outlier decides nothing.
+const SEEN: (f64, f64) = (0.3, 8.0);
+
+/// Time in which an observation fades to a third: slow spells last some seconds.
+const FADE: Span = Span::millis(4_000);
+
 /// Cost of an engine that fails all its requests, in milliseconds.
 const FAILING_MS: f64 = 3_000.0;
 
@@ -93,8 +99,10 @@
     own: Load,
     others: Map<u64, Load>,
     parts: Map<u64, (u32, Time)>,
-    /// Observed time to first events, as a multiple of what was expected.
+    /// Observed time to first events, as a multiple of that of a sound engine.
     slowness: f64,
+    /// When that was observed last.
+    observed: Time,
     /// Decayed share of requests that failed.
     failing: f64,
     failures: u32,
@@ -125,6 +133,8 @@
     pub load: Load,
     /// Expected time to the first event, in milliseconds.
     pub expected_ms: f64,
+    /// The same of a sound engine with this load.
+    pub sound_ms: f64,
 }
 
 /// Why a request has no place.
@@ -154,16 +164,24 @@
         wish.prompt.saturating_sub(held.sum())
     }
 
+    /// Returns how slow the engine is taken to be; an old observation fades, so that
+    /// an engine that has recovered is tried again.
+    #[allow(clippy::cast_precision_loss)]
+    fn slowness(&self, now: Time) -> f64 {
+        let age = self.observed.until(now).0 as f64 / FADE.0 as f64;
+        1.0 + (self.slowness - 1.0) * (-age).exp()
+    }
+
+    /// Returns the time to the first event of a sound engine with this load.
     #[allow(clippy::cast_precision_loss)]
-    fn expected_ms(&self, wish: &Wish<'_>, total: Load) -> f64 {
-        let slow = self.slowness.max(0.5);
+    fn sound_ms(&self, wish: &Wish<'_>, total: Load) -> f64 {
         if self.size.memory == 0 {
             let slots = f64::from(self.size.slots.max(1));
             let ahead = (f64::from(total.running) + 1.0 - slots).max(0.0);
-            return slow * (f64::from(total.running) + 10.0 * ahead);
+            return f64::from(total.running) + 10.0 * ahead;
         }
         let read = (total.reading + self.unread(wish)) as f64 / READ_RATE;
-        let mut expected = slow * (FIRST_MS + read);
+        let mut expected = FIRST_MS + read;
         let room = MEMORY_PART * self.size.memory as f64;
         let need = (total.held + wish.prompt + wish.answer / 2) as f64;
         if need > room {
@@ -173,8 +191,8 @@
         expected + 20.0 * f64::from(over)
     }
 
-    fn cost(&self, wish: &Wish<'_>, total: Load) -> (f64, f64) {
-        let expected = self.expected_ms(wish, total);
+    fn cost(&self, wish: &Wish<'_>, total: Load, now: Time) -> (f64, f64) {
+        let expected = self.slowness(now) * self.sound_ms(wish, total);
         let far = if self.far { FAR_MS } else { 0.0 };
         let crowd = CROWD_MS * f64::from(total.running);
         let failing = FAILING_MS * self.failing * self.failing;
@@ -256,7 +274,7 @@
                 if wish.tried.contains(&id) || (pass == 0 && resting) {
                     continue;
                 }
-                let (expected, cost) = engine.cost(wish, engine.total());
+                let (expected, cost) = engine.cost(wish, engine.total(), now);
                 let better = best.is_none_or(|(least, ..)| cost < least);
                 if better {
                     let load = Load {
@@ -276,10 +294,12 @@
         if rested && expected_ms > wish.within_ms {
             return Err(Full::Busy(expected_ms - wish.within_ms));
         }
+        let chosen = self.engines.get(&engine).ok_or(Full::Nowhere)?;
         Ok(Choice {
             engine,
             load,
             expected_ms,
+            sound_ms: chosen.sound_ms(wish, chosen.total()),
         })
     }
 
@@ -294,7 +314,7 @@
     /// Notes a first event after `took_ms`; the prompt has been read.
     ///
     /// Returns the load that is left.
-    pub fn started(&mut self, choice: &Choice, took_ms: f64) -> Load {
+    pub fn started(&mut self, choice: &Choice, took_ms: f64, now: Time) -> Load {
         let mut load = choice.load;
         if let Some(engine) = self.engines.get_mut(&choice.engine) {
             let read = Load {
@@ -304,8 +324,10 @@
             engine.own.take(read);
             engine.failures = 0;
             if engine.size.memory > 0 {
-                let seen = (took_ms / choice.expected_ms.max(1.0)).clamp(0.3, 6.0);
-                engine.slowness += LEARN * (seen - engine.slowness);
+                let seen = (took_ms / choice.sound_ms.max(1.0)).clamp(SEEN.0, SEEN.1);
+                let present = engine.slowness(now);
+                engine.slowness = present + LEARN * (seen - present);
+                engine.observed = now;
             }
         }
         load.reading = 0;
