Split the way of a request and the budget's tasks by job

Change: guards, reading and refusal of their own; the tasks of grants in budget.rs; Clippy's pedantic group is clean. No behaviour changed; tests pass.

--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -252,14 +252,14 @@
         };
         let answer = exchange.or(timeout(patience.into())).await;
         if matches!(answer, Err(FleetError::Timeout)) {
-            self.give_up(address).await;
+            self.give_up(address);
         }
         answer
     }
 
     /// Drops the connection to a peer that didn't answer: a restarted peer doesn't
     /// know it, and it would count as open until it had been idle for long.
-    async fn give_up(&self, address: SocketAddr) {
+    fn give_up(&self, address: SocketAddr) {
         let peer = Arc::clone(self.peers().entry(address).or_default());
         if let Some(mut link) = peer.link.try_lock()
             && let Some(open) = link.open.take()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,5 +1,6 @@
 //! The role that forwards requests as they are.
 //!
+//! - [`budget`]: grants of teams' tokens.
 //! - [`conn`]: a TCP connection with what was read of it.
 //! - [`control`]: what engines, operators and the balancer ask.
 //! - [`council`]: the thread that owns a replica of the log and its disk.
@@ -13,6 +14,7 @@
 //! - [`seals`]: what an entry with a disk has opened of its grants.
 //! - [`state`]: what a process knows.
 
+pub mod budget;
 pub mod conn;
 pub mod control;
 pub mod council;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -22,13 +22,12 @@
 use fleet::mesh::Member;
 use fleet::mesh::Update;
 use futures_lite::FutureExt as _;
-use ledger::Purses;
 use routing::directory::News;
+use routing::placement::Placement;
 
 use crate::council::Council;
 use crate::council::Input;
 use crate::council::Joiner;
-use crate::seals::Seal;
 use crate::state::PEER_GONE;
 use crate::state::Peer;
 use crate::state::Shared;
@@ -50,7 +49,7 @@
 const REPLICA_WAIT: Span = Span::millis(400);
 
 /// Longest wait for one answer of the leader.
-const LEADER_WAIT: Span = Span::millis(500);
+pub const LEADER_WAIT: Span = Span::millis(500);
 
 /// Longest wait for the leader on another process's behalf.
 const FORWARD_WAIT: Span = Span::millis(300);
@@ -64,22 +63,6 @@
 /// Pause before the leader is asked once more.
 const LEADER_PAUSE: Duration = Duration::from_millis(40);
 
-/// Time between two looks whether grants are needed.
-const DRAW_EVERY: Duration = Duration::from_millis(250);
-
-/// Least time between two draws.
-const DRAW_GAP: Duration = Duration::from_millis(15);
-
-/// Longest wait for the ledger to take grants back at a planned stop.
-const CLOSE_WAIT: Span = Span::millis(300);
-
-/// Longest wait for the disk before grants are used without it. Requests wait for
-/// opened grants no longer than this.
-const SEAL_WAIT: Duration = Duration::from_millis(250);
-
-/// Time between two looks whether more must be opened.
-const SEAL_EVERY: Duration = Duration::from_millis(250);
-
 /// Time between two lines on the memory in use.
 const MEMORY_EVERY: Duration = Duration::from_secs(5);
 
@@ -90,7 +73,7 @@
 const REPLACE: Span = Span::millis(6_000);
 
 /// Time between two requests to join the group.
-const JOIN_EVERY: Duration = Duration::from_millis(300);
+pub const JOIN_EVERY: Duration = Duration::from_millis(300);
 
 /// Time after the start in which a process without word from the group doesn't
 /// serve with a configuration that it has from elsewhere.
@@ -416,11 +399,7 @@
         peer.direct.is_some_and(|at| at.until(now) < PEER_GONE) && peer.member.address != address
     });
     let members = near.take(NAMED).map(|peer| peer.member.clone()).collect();
-    let loads = state
-        .places
-        .values()
-        .flat_map(|places| places.own())
-        .collect();
+    let loads = state.places.values().flat_map(Placement::own).collect();
     let update = Update {
         from: shared.own.clone(),
         members,
@@ -492,26 +471,24 @@
 async fn tell_one(shared: &Shared, address: SocketAddr, update: Update, ids: Vec<String>) {
     let version = update.version;
     let ask = Ask::Update(Box::new(update));
-    match peer(shared, address, ask, UPDATE_WAIT).await {
-        Some(Answer::Version(theirs)) => {
-            if let Some(peer) = shared.state().peers.get_mut(&address) {
-                peer.telling = None;
-            }
-            if theirs > version {
-                pull(shared, address).await;
-            }
-        }
-        _ => {
-            let mut state = shared.state();
-            if let Some(peer) = state.peers.get_mut(&address) {
-                // What was not taken in goes with the next update.
-                for id in ids {
-                    if !peer.pending.contains(&id) {
-                        peer.pending.push(id);
-                    }
+    let answer = peer(shared, address, ask, UPDATE_WAIT).await;
+    let Some(Answer::Version(theirs)) = answer else {
+        let mut state = shared.state();
+        if let Some(peer) = state.peers.get_mut(&address) {
+            // What was not taken in goes with the next update.
+            for id in ids {
+                if !peer.pending.contains(&id) {
+                    peer.pending.push(id);
                 }
             }
         }
+        return;
+    };
+    if let Some(peer) = shared.state().peers.get_mut(&address) {
+        peer.telling = None;
+    }
+    if theirs > version {
+        pull(shared, address).await;
     }
 }
 
@@ -662,131 +639,3 @@
         Timer::after(LEADER_PAUSE).await;
     }
 }
-
-/// Draws grants as requests need them.
-pub async fn draw(shared: Arc<Shared>) {
-    loop {
-        let listener = shared.demand.listen();
-        let now = shared.now();
-        let (terms, demands) = {
-            let mut state = shared.state();
-            (state.purses.terms(), state.purses.demands(now))
-        };
-        let lease = terms.id;
-        if !demands.is_empty() {
-            let ask = Ask::Draw(terms, demands);
-            match lead(&shared, &ask, LEADER_WAIT).await {
-                Answer::Granted(Some(granted)) => {
-                    let now = shared.now();
-                    let mut state = shared.state();
-                    state.purses.granted(lease, &granted, now);
-                    if !std::mem::replace(&mut state.ledger_answers, true) {
-                        log::info!("budget: event=ledger_regained lease={lease:x}");
-                    }
-                }
-                Answer::Granted(None) => {
-                    let fresh = fastrand::u64(1..);
-                    log::warn!("budget: event=lease_closed lease={lease:x} next={fresh:x}");
-                    shared.state().purses = Purses::new(fresh, shared.council.is_some());
-                }
-                _ => {
-                    let mut state = shared.state();
-                    if std::mem::replace(&mut state.ledger_answers, false) {
-                        log::warn!(
-                            "budget: event=ledger_lost lease={lease:x} leader={:?}",
-                            state.leader
-                        );
-                    }
-                }
-            }
-            shared.granted.notify(usize::MAX);
-            Timer::after(DRAW_GAP).await;
-        }
-        let tick = async {
-            Timer::after(DRAW_EVERY).await;
-        };
-        listener.or(tick).await;
-    }
-}
-
-/// Gives all unused grants back before a planned stop.
-pub async fn close_purses(shared: &Shared) {
-    let (terms, demands) = {
-        let mut state = shared.state();
-        (state.purses.terms(), state.purses.close())
-    };
-    if demands.is_empty() {
-        return;
-    }
-    let lease = terms.id;
-    let answer = lead(shared, &Ask::Draw(terms, demands), CLOSE_WAIT).await;
-    let returned = matches!(answer, Answer::Granted(Some(_)));
-    log::info!("budget: event=closed lease={lease:x} returned={returned}");
-}
-
-/// Opens grants on the disk as requests need them, on an instance that has one.
-pub async fn seal(shared: Arc<Shared>) {
-    let Some(council) = &shared.council else {
-        return;
-    };
-    loop {
-        let listener = shared.demand.listen();
-        let now = shared.now();
-        let (lease, marks) = {
-            let mut state = shared.state();
-            (state.purses.lease(), state.purses.marks(now))
-        };
-        if let Some(opened) = marks {
-            let (reply, answer) = async_channel::bounded(1);
-            let seal = Seal { lease, opened };
-            council.send(Input::Seal(seal.clone(), reply));
-            let done = async { answer.recv().await.is_ok() };
-            let late = async {
-                Timer::after(SEAL_WAIT).await;
-                false
-            };
-            if done.or(late).await {
-                shared.state().purses.opened(lease, &seal.opened);
-                shared.granted.notify(usize::MAX);
-            } else {
-                unseal(&shared, lease).await;
-            }
-        }
-        let tick = async {
-            Timer::after(SEAL_EVERY).await;
-        };
-        listener.or(tick).await;
-    }
-}
-
-/// Goes on without the disk under another lease: nothing will vouch for its grants
-/// after a crash, and requests don't wait for the disk.
-async fn unseal(shared: &Shared, lease: u64) {
-    let fresh = fastrand::u64(1..);
-    let (terms, demands) = {
-        let mut state = shared.state();
-        if state.purses.lease() != lease {
-            return;
-        }
-        let terms = state.purses.terms();
-        let demands = state.purses.close();
-        state.purses = Purses::new(fresh, false);
-        (terms, demands)
-    };
-    log::warn!("budget: event=unsealed lease={lease:x} next={fresh:x} reason=\"the disk is slow\"");
-    shared.demand.notify(usize::MAX);
-    // The old lease is buried where this doesn't arrive.
-    let _ = lead(shared, &Ask::Draw(terms, demands), LEADER_WAIT).await;
-}
-
-/// Gives back what an earlier run on this disk had not opened of its grants.
-pub async fn recover(shared: Arc<Shared>) {
-    let Some(seal) = shared.council.as_ref().and_then(Council::seal).cloned() else {
-        return;
-    };
-    let ask = Ask::Close(seal.lease, Some(seal.opened));
-    while !matches!(lead(&shared, &ask, LEADER_WAIT).await, Answer::Done) {
-        Timer::after(JOIN_EVERY).await;
-    }
-    log::info!("budget: event=recovered lease={:x}", seal.lease);
-}
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -21,6 +21,7 @@
 use platform::settings::NodeSettings;
 use thiserror::Error;
 
+use crate::budget;
 use crate::control;
 use crate::council::Council;
 use crate::council::CouncilError;
@@ -164,10 +165,10 @@
         pool.spawn(mesh::tell(Arc::clone(&self.shared)));
         pool.spawn(mesh::join(Arc::clone(&self.shared)));
         pool.spawn(mesh::confirm(Arc::clone(&self.shared)));
-        pool.spawn(mesh::draw(Arc::clone(&self.shared)));
-        pool.spawn(mesh::seal(Arc::clone(&self.shared)));
+        pool.spawn(budget::draw(Arc::clone(&self.shared)));
+        pool.spawn(budget::seal(Arc::clone(&self.shared)));
         pool.spawn(mesh::report_memory());
-        pool.spawn(mesh::recover(Arc::clone(&self.shared)));
+        pool.spawn(budget::recover(Arc::clone(&self.shared)));
         pool.spawn(watch_settings(Arc::clone(&self.shared)));
     }
 
@@ -191,7 +192,7 @@
             }
             Timer::after(Duration::from_millis(50)).await;
         }
-        mesh::close_purses(shared).await;
+        budget::close(shared).await;
         if let Some(council) = &shared.council {
             let (done, stopped) = async_channel::bounded(1);
             council.send(Input::Stop(done));
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,4 +1,12 @@
 //! One request's way: admitted, charged, placed, sent, relayed, settled.
+//!
+//! - [`guards`]: a charge and a load, given back however a request ends.
+//! - [`reading`]: an engine's answer, held or passed on as it arrives.
+//! - [`refusal`]: why a request isn't answered by an engine.
+
+mod guards;
+mod reading;
+mod refusal;
 
 use std::io;
 use std::sync::Arc;
@@ -12,35 +20,25 @@
 use config::site::Route;
 use config::site::Table;
 use futures_lite::FutureExt as _;
-use http::Body;
 use http::RequestHead;
 use http::ResponseHead;
-use http::event;
-use http::write::chunk;
-use http::write::last_chunk;
 use ledger::purse::Short;
 use platform::call;
 use platform::call::Outgoing;
-use platform::call::Verdict;
 use routing::Call;
 use routing::admission;
 use routing::directory::Announcement;
 use routing::placement::Choice;
 use routing::placement::Full;
-use routing::placement::Load;
 use routing::placement::Wish;
 
+use self::guards::Charge;
+use self::guards::Flight;
+use self::refusal::Refuse;
 use crate::conn::Conn;
 use crate::links;
 use crate::state::Shared;
 
-/// Longest head of an engine's response, in bytes.
-const MAX_HEAD: usize = 64 << 10;
-
-/// Largest answer that is held until it's whole, in bytes. Larger ones are passed on
-/// as they arrive.
-const MAX_HELD: usize = 512 << 10;
-
 /// Patience of a caller who names none.
 const DEFAULT_PATIENCE: Span = Span::millis(30_000);
 
@@ -81,132 +79,6 @@
     Cut,
 }
 
-/// Why a request isn't answered by an engine.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Refuse {
-    /// No configuration is known.
-    Unconfigured,
-    /// No route matches.
-    NoRoute,
-    /// No team holds the key.
-    NoKey,
-    /// The team's total doesn't cover the request at its most.
-    Budget,
-    /// No grant came in time.
-    Grant,
-    /// No engine could start it in time.
-    Busy(f64),
-    /// No engine is known.
-    Nowhere,
-    /// No engine ran it.
-    NotRun,
-    /// The process stops before the request's time is over.
-    Stopping,
-    /// An engine may have run it and didn't answer.
-    Unknown,
-    /// The time was over before an engine answered.
-    Late { sent: bool },
-}
-
-impl Refuse {
-    fn status(self) -> u16 {
-        match self {
-            Self::NoRoute => 404,
-            Self::NoKey => 401,
-            Self::Budget => 402,
-            Self::Unconfigured
-            | Self::Grant
-            | Self::Busy(_)
-            | Self::Nowhere
-            | Self::NotRun
-            | Self::Stopping
-            | Self::Late { sent: false } => 503,
-            Self::Unknown => 502,
-            Self::Late { sent: true } => 504,
-        }
-    }
-
-    fn reason(self) -> &'static str {
-        match self {
-            Self::Unconfigured => {
-                "no configuration is in force here yet; the request did not run\n"
-            }
-            Self::NoRoute => "no such route\n",
-            Self::NoKey => "unknown key\n",
-            Self::Budget => "the team's budget does not cover the request\n",
-            Self::Grant => "the team's budget can't be reached; the request did not run\n",
-            Self::Busy(_) => "all endpoints are busy; the request did not run\n",
-            Self::Nowhere => "no endpoint is available; the request did not run\n",
-            Self::NotRun => "the endpoints had no room; the request did not run\n",
-            Self::Stopping => "this process stops; the request did not run\n",
-            Self::Unknown => "the endpoint failed; whether the request ran is unknown\n",
-            Self::Late { sent: false } => "the time is over; the request did not run\n",
-            Self::Late { sent: true } => "the time is over; whether the request ran is unknown\n",
-        }
-    }
-
-    /// Returns when room is expected, in milliseconds.
-    fn room_ms(self) -> Option<f64> {
-        match self {
-            Self::Busy(ms) => Some(ms),
-            Self::Unconfigured | Self::Nowhere | Self::Grant => Some(400.0),
-            Self::NotRun => Some(300.0),
-            Self::Stopping => Some(0.0),
-            _ => None,
-        }
-    }
-}
-
-/// A charge against a team's budget, settled when dropped.
-struct Charge<'a> {
-    shared: &'a Shared,
-    lease: u64,
-    team: String,
-    most: u64,
-    used: u64,
-}
-
-impl Drop for Charge<'_> {
-    fn drop(&mut self) {
-        let mut state = self.shared.state();
-        let (lease, most, used) = (self.lease, self.most, self.used);
-        state.purses.settle(lease, &self.team, most, used);
-    }
-}
-
-/// A request at an engine, taken off its load when dropped.
-struct Flight<'a> {
-    shared: &'a Shared,
-    service: &'a str,
-    choice: Choice,
-    load: Load,
-    failed: bool,
-}
-
-impl Flight<'_> {
-    /// Notes the first bytes of the answer.
-    fn started(&mut self, took: Span) {
-        let now = self.shared.now();
-        let mut state = self.shared.state();
-        if let Some(places) = state.places.get_mut(self.service)
-            && self.load.reading > 0
-        {
-            #[allow(clippy::cast_precision_loss)]
-            let took_ms = took.0 as f64 / 1e3;
-            self.load = places.started(&self.choice, took_ms, now);
-        }
-    }
-}
-
-impl Drop for Flight<'_> {
-    fn drop(&mut self) {
-        let mut state = self.shared.state();
-        if let Some(places) = state.places.get_mut(self.service) {
-            places.ended(self.choice.engine, self.load, self.failed);
-        }
-    }
-}
-
 /// What came of one send.
 enum Sent {
     /// The caller has the whole answer.
@@ -226,6 +98,15 @@
     Stalled,
 }
 
+/// Whether an engine's connection can be used for another request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reuse {
+    /// It can't.
+    No,
+    /// It can, for as many seconds as the engine says.
+    For(Option<u64>),
+}
+
 /// One request on its way.
 struct Way<'a> {
     shared: &'a Shared,
@@ -246,8 +127,8 @@
     first: Option<Time>,
     /// The charge, where the team's tokens are prepaid.
     charge: Option<Charge<'a>>,
-    /// How long the engine keeps the connection, where it can be used again.
-    reuse: Option<Option<u64>>,
+    /// Whether the engine's connection can be used again.
+    reuse: Reuse,
 }
 
 /// Answers `request` on its caller's connection.
@@ -365,7 +246,7 @@
         ran: 0,
         first: None,
         charge: None,
-        reuse: None,
+        reuse: Reuse::No,
     };
     let paid = team.filter(|team| team.budget.is_some() && request.call.most() > 0);
     if let Some(team) = paid {
@@ -419,8 +300,7 @@
             let late = async {
                 Timer::after(now.until(give_up).into()).await;
             };
-            let granted = async { listener.await };
-            granted.or(late).await;
+            listener.or(late).await;
         }
     }
 
@@ -641,7 +521,7 @@
         out.extend_from_slice(&self.request.body);
         let sent_at = self.shared.now();
         self.note_use(true);
-        self.reuse = None;
+        self.reuse = Reuse::No;
         let mut whole = false;
         let writing = async {
             let done = conn.write(&out).await;
@@ -662,7 +542,7 @@
             )
         };
         let outcome = reading.or(stalled).await.unwrap_or(Sent::Stalled);
-        if let Some(idle_s) = self.reuse.take()
+        if let Reuse::For(idle_s) = self.reuse
             && whole
         {
             let now = self.shared.now();
@@ -712,169 +592,4 @@
             engine.address
         );
     }
-
-    async fn read_answer(
-        &mut self,
-        conn: &mut Conn,
-        flight: &mut Flight<'_>,
-        sent_at: Time,
-        caller: &Conn,
-    ) -> Sent {
-        let head = loop {
-            match ResponseHead::read(&conn.buf, MAX_HEAD, &self.request.head.method) {
-                Ok(Some((head, used))) => {
-                    conn.used(used);
-                    if head.status >= 200 {
-                        break head;
-                    }
-                    continue;
-                }
-                Ok(None) => {}
-                Err(_) => return Sent::Failed,
-            }
-            match conn.fill().await {
-                Ok(0) | Err(_) => return Sent::Failed,
-                Ok(_) => {}
-            }
-        };
-        match call::verdict(&head, self.request.call.id.as_deref()) {
-            Verdict::Ran => {}
-            Verdict::NotRun | Verdict::Stranger => return Sent::NotRun,
-            Verdict::Foreign => return Sent::Failed,
-        }
-        if head.status < 300 && call::streams(&head) {
-            return self.relay(conn, flight, sent_at, &head, caller).await;
-        }
-        flight.started(sent_at.until(self.shared.now()));
-        let body = match hold(conn, &head).await {
-            Some(body) => body,
-            None => return Sent::Failed,
-        };
-        if body.len() > MAX_HELD {
-            return Sent::Failed;
-        }
-        self.keep(conn, &head);
-        if head.status >= 500 {
-            return Sent::Refused(head, body);
-        }
-        match self.pass(&head, &body, caller).await {
-            End::Answered => Sent::Done,
-            End::Cut => Sent::Cut,
-        }
-    }
-
-    /// Notes that the connection can be used again where nothing is left on it.
-    fn keep(&mut self, conn: &Conn, head: &ResponseHead) {
-        if !head.closes && conn.buf.is_empty() {
-            self.reuse = Some(call::idle_s(head));
-        }
-    }
-
-    /// Sends a whole answer to the caller.
-    async fn pass(&mut self, head: &ResponseHead, body: &[u8], caller: &Conn) -> End {
-        let mut out = Vec::with_capacity(512 + body.len());
-        call::write_response(&mut out, head, Some(body.len() as u64), self.request.close);
-        out.extend_from_slice(body);
-        self.begun = true;
-        match caller.write(&out).await {
-            Ok(()) => End::Answered,
-            Err(_) => End::Cut,
-        }
-    }
-
-    /// Passes a stream of events on as they arrive, whole events only.
-    async fn relay(
-        &mut self,
-        conn: &mut Conn,
-        flight: &mut Flight<'_>,
-        sent_at: Time,
-        head: &ResponseHead,
-        caller: &Conn,
-    ) -> Sent {
-        let mut body = Body::new(head.framing);
-        let mut events = Vec::new();
-        let mut out = Vec::new();
-        loop {
-            match body.read(&conn.buf, &mut events) {
-                Ok(used) => conn.used(used),
-                Err(_) => return self.broken(),
-            }
-            let ready = if body.done() {
-                events.len()
-            } else {
-                event::whole(&events)
-            };
-            if ready > 0 {
-                if self.events == 0 {
-                    flight.started(sent_at.until(self.shared.now()));
-                    self.first = Some(self.shared.now());
-                }
-                let (count, last) = event::last(&events[..ready]);
-                self.events += count as u64;
-                self.note_use(true);
-                if let Some(id) = last {
-                    self.last_event = Some(id.to_owned());
-                }
-                self.begin(head, &mut out);
-                chunk(&mut out, &events[..ready]);
-                events.drain(..ready);
-            }
-            if body.done() {
-                self.begin(head, &mut out);
-                last_chunk(&mut out);
-                self.keep(conn, head);
-                return match caller.write(&out).await {
-                    Ok(()) => Sent::Done,
-                    Err(_) => Sent::Cut,
-                };
-            }
-            if !out.is_empty() {
-                if caller.write(&out).await.is_err() {
-                    return Sent::Cut;
-                }
-                out.clear();
-            }
-            match conn.fill().await {
-                Ok(0) if body.ends_with_connection() => body = Body::new(http::Framing::None),
-                Ok(0) | Err(_) => return self.broken(),
-                Ok(_) => {}
-            }
-        }
-    }
-
-    /// Adds the head of the answer to `out` unless the caller has it.
-    fn begin(&mut self, head: &ResponseHead, out: &mut Vec<u8>) {
-        if !self.begun {
-            call::write_response(out, head, None, self.request.close);
-            self.begun = true;
-        }
-    }
-
-    fn broken(&self) -> Sent {
-        if self.begun && self.route.repeat != Repeat::Resume {
-            return Sent::Cut;
-        }
-        Sent::Failed
-    }
-}
-
-/// Reads a whole body; `None` where it's cut short or too long.
-async fn hold(conn: &mut Conn, head: &ResponseHead) -> Option<Vec<u8>> {
-    let mut body = Body::new(head.framing);
-    let mut held = Vec::new();
-    loop {
-        let used = body.read(&conn.buf, &mut held).ok()?;
-        conn.used(used);
-        if body.done() {
-            return Some(held);
-        }
-        if held.len() > MAX_HELD {
-            return None;
-        }
-        match conn.fill().await {
-            Ok(0) if body.ends_with_connection() => return Some(held),
-            Ok(0) | Err(_) => return None,
-            Ok(_) => {}
-        }
-    }
 }
--- a/crates/http/tests/messages.rs
+++ b/crates/http/tests/messages.rs
@@ -97,6 +97,7 @@
 }
 
 /// Chunks cut anywhere give the content back.
+#[expect(clippy::needless_pass_by_value, reason = "quickcheck passes values")]
 fn chunks_round_trip(parts: Vec<Vec<u8>>, cut: usize) -> bool {
     let mut wire = Vec::new();
     for part in &parts {
--- a/crates/ledger/src/purse.rs
+++ b/crates/ledger/src/purse.rs
@@ -112,7 +112,7 @@
     lease: u64,
     /// Whether no more is charged than the disk says was opened.
     sealed: bool,
-    purses: Map<String, Purse>,
+    teams: Map<String, Purse>,
 }
 
 impl Purses {
@@ -125,7 +125,7 @@
         Self {
             lease,
             sealed,
-            purses: Map::default(),
+            teams: Map::default(),
         }
     }
 
@@ -145,10 +145,10 @@
     }
 
     fn purse(&mut self, team: &str) -> &mut Purse {
-        if !self.purses.contains_key(team) {
-            self.purses.insert(team.to_owned(), Purse::default());
+        if !self.teams.contains_key(team) {
+            self.teams.insert(team.to_owned(), Purse::default());
         }
-        self.purses.entry(team.to_owned()).or_default()
+        self.teams.entry(team.to_owned()).or_default()
     }
 
     /// Charges `amount` to `team`.
@@ -195,7 +195,7 @@
     /// Returns the demands to send; empty where every purse holds what it needs.
     pub fn demands(&mut self, now: Time) -> Vec<Demand> {
         let mut demands = Vec::new();
-        for (team, purse) in &mut self.purses {
+        for (team, purse) in &mut self.teams {
             purse.decay(now);
             let ahead = purse.ahead(now);
             let rest = purse.rest();
@@ -231,7 +231,7 @@
                 spent: purse.spent,
             }
         };
-        self.purses.iter_mut().map(close).collect()
+        self.teams.iter_mut().map(close).collect()
     }
 
     /// Returns what the disk should say is opened, where a purse needs more soon.
@@ -240,8 +240,8 @@
             return None;
         }
         let mut due = false;
-        let mut marks = Vec::with_capacity(self.purses.len());
-        for (team, purse) in &mut self.purses {
+        let mut marks = Vec::with_capacity(self.teams.len());
+        for (team, purse) in &mut self.teams {
             purse.decay(now);
             let ahead = purse.ahead(now) - purse.short;
             let target = purse.charged + purse.short + ahead / OPEN_PART;
@@ -289,7 +289,7 @@
 
     /// Forgets what the ledger said of totals, after they changed.
     pub fn reconsider(&mut self) {
-        for purse in self.purses.values_mut() {
+        for purse in self.teams.values_mut() {
             purse.answer = None;
         }
     }
--- a/crates/routing/tests/directory.rs
+++ b/crates/routing/tests/directory.rs
@@ -95,6 +95,7 @@
 }
 
 /// Any order of the same announcements ends in the same run and phase.
+#[expect(clippy::needless_pass_by_value, reason = "quickcheck passes values")]
 fn order_does_not_matter(words: Vec<Word>, seed: u64) -> bool {
     let take = |words: &[Word]| {
         let mut directory = Directory::default();
