Let entries lend each other grants while the ledger can't be reached

Change: an entry that is short and gets no answer from the ledger borrows from a peer, which counts it as spent; histories with loans keep the total.

--- a/crates/fleet/src/mesh.rs
+++ b/crates/fleet/src/mesh.rs
@@ -92,6 +92,8 @@
     Known,
     /// Demands of an entry under its lease.
     Draw(Lease, Vec<Demand>),
+    /// Asks an entry to lend tokens of these teams.
+    Lend(Vec<(String, u64)>),
     /// Closes the lease of an earlier run, of which this was opened at most.
     Close(u64, Option<Vec<(String, u64)>>),
     /// A question to the leader, passed on by a process that may reach it.
@@ -109,6 +111,8 @@
     Config(u64, Vec<u8>),
     /// What was granted; `None` where the lease was closed.
     Granted(Option<Vec<Granted>>),
+    /// What is lent of each team's tokens.
+    Lent(Vec<(String, u64)>),
     /// The receiver doesn't lead; it knows this leader.
     Elsewhere(Option<SocketAddr>),
     /// The receiver can't answer now.
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -5,6 +5,7 @@
 
 use async_io::Timer;
 use base::Span;
+use base::Time;
 use fleet::mesh::Answer;
 use fleet::mesh::Ask;
 use futures_lite::FutureExt as _;
@@ -15,6 +16,8 @@
 use crate::mesh::JOIN_EVERY;
 use crate::mesh::LEADER_WAIT;
 use crate::mesh::lead;
+use crate::mesh::near;
+use crate::mesh::peer;
 use crate::seals::Seal;
 use crate::state::Shared;
 
@@ -24,6 +27,9 @@
 /// Least time between two draws.
 const DRAW_GAP: Duration = Duration::from_millis(15);
 
+/// Longest wait for a peer that lends.
+const LEND_WAIT: Span = Span::millis(300);
+
 /// Longest wait for the disk before grants are used without it. Requests wait for
 /// opened grants no longer than this.
 const SEAL_WAIT: Duration = Duration::from_millis(250);
@@ -70,6 +76,9 @@
                     }
                 }
             }
+            if !shared.state().ledger_answers {
+                borrow(&shared, now).await;
+            }
             shared.granted.notify(usize::MAX);
             Timer::after(DRAW_GAP).await;
         }
@@ -95,6 +104,40 @@
     log::info!("budget: event=closed lease={lease:x} returned={returned}");
 }
 
+/// Lends a peer tokens that it's short of.
+pub fn lend(shared: &Shared, wishes: Vec<(String, u64)>) -> Answer {
+    let mut state = shared.state();
+    let lent = wishes.into_iter().map(|(team, amount)| {
+        let loan = state.purses.lend(&team, amount);
+        (team, loan)
+    });
+    Answer::Lent(lent.filter(|(_, loan)| *loan > 0).collect())
+}
+
+/// Borrows from a peer while the ledger doesn't answer.
+async fn borrow(shared: &Shared, now: Time) {
+    let wishes = shared.state().purses.wishes(now);
+    let Some(address) = fastrand::choice(near(shared)) else {
+        return;
+    };
+    if wishes.is_empty() {
+        return;
+    }
+    let teams = wishes.len();
+    let lease = shared.state().purses.lease();
+    // What is lent in an answer that is lost stays spent.
+    if let Some(Answer::Lent(lent)) = peer(shared, address, Ask::Lend(wishes), LEND_WAIT).await {
+        let mut state = shared.state();
+        let sum: u64 = lent.iter().map(|(_, loan)| loan).sum();
+        if state.purses.lease() == lease {
+            for (team, loan) in &lent {
+                state.purses.borrow(team, *loan);
+            }
+        }
+        log::info!("budget: event=borrowed from={address} teams={teams} tokens={sum}");
+    }
+}
+
 /// Opens grants on the disk as requests need them, on an instance that has one.
 pub async fn seal(shared: Arc<Shared>) {
     let Some(council) = &shared.council else {
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -25,6 +25,7 @@
 use routing::directory::News;
 use routing::placement::Placement;
 
+use crate::budget;
 use crate::council::Council;
 use crate::council::Input;
 use crate::council::Joiner;
@@ -110,6 +111,7 @@
             let version = state.table.as_ref().map_or(0, |table| table.site().version);
             Answer::Config(version, state.body.to_vec())
         }
+        Ask::Lend(wishes) => budget::lend(&shared, wishes),
         Ask::Forward(ask) => match *ask {
             // Passed on once: the asker can't reach the leader, this process may.
             Ask::Submit(..) | Ask::Read | Ask::Draw(..) => {
@@ -145,7 +147,9 @@
         Ask::Draw(lease, demands) => Input::Draw(lease, demands, reply),
         Ask::Close(lease, opened) => Input::Close(lease, opened, reply),
         Ask::Join(id, disk, _) => Input::Join(joiner(shared, id, disk), reply),
-        Ask::Update(_) | Ask::Replica(_) | Ask::Known | Ask::Forward(_) => return Answer::Unsure,
+        Ask::Update(_) | Ask::Replica(_) | Ask::Known | Ask::Lend(_) | Ask::Forward(_) => {
+            return Answer::Unsure;
+        }
     };
     council.send(input);
     let late = async {
@@ -172,23 +176,24 @@
     }
 }
 
+/// Returns the peers heard a moment ago, but for the leader.
+pub fn near(shared: &Shared) -> Vec<SocketAddr> {
+    let now = shared.now();
+    let state = shared.state();
+    let heard = |peer: &&Peer| peer.direct.is_some_and(|at| at.until(now) < NEAR);
+    let near = state.peers.values().filter(heard);
+    let near = near.map(|peer| peer.member.address);
+    near.filter(|&address| Some(address) != state.leader)
+        .collect()
+}
+
 /// Asks the leader, itself or through a peer, for at most `patience`.
 pub async fn lead(shared: &Shared, ask: &Ask, patience: Span) -> Answer {
     let answer = direct(shared, ask, patience).await;
     if !matches!(answer, Answer::Unsure | Answer::Elsewhere(_)) {
         return answer;
     }
-    let now = shared.now();
-    let through = {
-        let state = shared.state();
-        let leader = state.leader;
-        let near = state.peers.values().filter(|peer| {
-            Some(peer.member.address) != leader
-                && peer.direct.is_some_and(|at| at.until(now) < NEAR)
-        });
-        let near: Vec<SocketAddr> = near.map(|peer| peer.member.address).collect();
-        fastrand::choice(near)
-    };
+    let through = fastrand::choice(near(shared));
     let Some(address) = through else {
         return Answer::Unsure;
     };
@@ -229,7 +234,7 @@
 }
 
 /// Asks one peer.
-async fn peer(shared: &Shared, address: SocketAddr, ask: Ask, wait: Span) -> Option<Answer> {
+pub async fn peer(shared: &Shared, address: SocketAddr, ask: Ask, wait: Span) -> Option<Answer> {
     let node = shared.node.get()?;
     match node.ask(address, fleet::Ask::Mesh(ask), wait).await {
         Ok(fleet::Answer::Mesh(answer)) => Some(answer),
--- a/crates/ledger/src/allowance.rs
+++ b/crates/ledger/src/allowance.rs
@@ -16,7 +16,7 @@
 
 /// Part of what is unspent that all entries may hold ahead, unless a request needs
 /// more: what dies with entries then never takes more than this part of the rest.
-const HELD_PART: u64 = 3;
+const HELD_PART: u64 = 4;
 
 /// Part of what a sealed entry holds that a crash can cost.
 const SEALED_PART: u64 = 4;
--- a/crates/ledger/src/purse.rs
+++ b/crates/ledger/src/purse.rs
@@ -24,6 +24,9 @@
 /// stalled disk is noticed well within it.
 const OPEN_PART: u64 = 5;
 
+/// Part of what a purse holds ahead that it asks another entry to lend at once.
+const LOAN_PART: u64 = 6;
+
 /// Age up to which the ledger's answer decides; it's asked again several times a
 /// second while a request is short.
 const FRESH: Span = Span::millis(600);
@@ -38,6 +41,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Purse {
     granted: u64,
+    /// Lent by other entries, on whose grants it counts as spent.
+    lent: u64,
     returned: u64,
     /// Charged and not given back.
     charged: u64,
@@ -79,7 +84,7 @@
 
 impl Purse {
     fn rest(&self) -> u64 {
-        self.granted - self.returned - self.charged
+        self.granted + self.lent - self.returned - self.charged
     }
 
     fn decay(&mut self, now: Time) {
@@ -199,8 +204,8 @@
             purse.decay(now);
             let ahead = purse.ahead(now);
             let rest = purse.rest();
-            if rest > SURPLUS * ahead.max(1) {
-                purse.returned += rest - ahead;
+            if rest > SURPLUS * ahead.max(1) && purse.granted > purse.returned {
+                purse.returned += (rest - ahead).min(purse.granted - purse.returned);
             } else if rest * 10 > ahead * 9 && rest >= purse.short {
                 continue;
             }
@@ -234,6 +239,44 @@
         self.teams.iter_mut().map(close).collect()
     }
 
+    /// Returns what other entries are asked to lend while the ledger doesn't answer:
+    /// each team that is short, with an amount.
+    pub fn wishes(&mut self, now: Time) -> Vec<(String, u64)> {
+        let mut wishes = Vec::new();
+        for (team, purse) in &mut self.teams {
+            purse.decay(now);
+            if purse.short > 0 && purse.rest() < purse.short {
+                let amount = purse.short.max(purse.ahead(now) / LOAN_PART);
+                wishes.push((team.clone(), amount));
+            }
+        }
+        wishes
+    }
+
+    /// Lends up to `amount`, at most half of what is left: the entry that asks may
+    /// have as long to go as this one. What is lent counts as spent here.
+    pub fn lend(&mut self, team: &str, amount: u64) -> u64 {
+        let sealed = self.sealed;
+        let purse = self.purse(team);
+        let mut loan = amount.min(purse.rest() / 2);
+        if sealed {
+            loan = loan.min(purse.opened.saturating_sub(purse.charged));
+        }
+        purse.charged += loan;
+        purse.spent += loan;
+        loan
+    }
+
+    /// Takes in what another entry has lent.
+    pub fn borrow(&mut self, team: &str, amount: u64) {
+        let sealed = self.sealed;
+        let purse = self.purse(team);
+        purse.lent += amount;
+        if purse.rest() >= purse.short && !sealed {
+            purse.short = 0;
+        }
+    }
+
     /// Returns what the disk should say is opened, where a purse needs more soon.
     pub fn marks(&mut self, now: Time) -> Option<Vec<(String, u64)>> {
         if !self.sealed {
@@ -245,7 +288,8 @@
             purse.decay(now);
             let ahead = purse.ahead(now) - purse.short;
             let target = purse.charged + purse.short + ahead / OPEN_PART;
-            let target = target.min(purse.granted - purse.returned).max(purse.opened);
+            let most = purse.granted + purse.lent - purse.returned;
+            let target = target.min(most).max(purse.opened);
             let least = purse.charged + purse.short + ahead / OPEN_PART / 2;
             due |= purse.opened < least && target > purse.opened;
             marks.push((team.clone(), target));
--- a/crates/ledger/tests/purse.rs
+++ b/crates/ledger/tests/purse.rs
@@ -59,18 +59,20 @@
     Total(u16),
     Wait(u16),
     Seal,
+    Lend(u8, u16, bool),
 }
 
 impl Arbitrary for Step {
     fn arbitrary(g: &mut Gen) -> Self {
         let entry = u8::arbitrary(g) % 3;
-        match u8::arbitrary(g) % 11 {
+        match u8::arbitrary(g) % 12 {
             0..=3 => Self::Charge(entry, u16::arbitrary(g) % 500),
             4 => Self::Refund(entry, u16::arbitrary(g) % 300),
             5 | 6 => Self::Renew(entry),
             7 => Self::Repeat(entry),
             8 => Self::Restart(entry),
             9 => Self::Seal,
+            10 => Self::Lend(entry, u16::arbitrary(g) % 2_000, bool::arbitrary(g)),
             _ if bool::arbitrary(g) => Self::Total(u16::arbitrary(g) % 20_000),
             _ => Self::Wait(u16::arbitrary(g) % 5_000),
         }
@@ -124,6 +126,13 @@
                     entries[usize::from(entry)].granted(terms.id, &granted, now);
                 }
             }
+            Step::Lend(entry, amount, arrives) => {
+                let from = usize::from(entry);
+                let loan = entries[from].lend(TEAM, amount.into());
+                if arrives {
+                    entries[(from + 1) % 3].borrow(TEAM, loan);
+                }
+            }
             Step::Seal => {
                 if let Some(marks) = entries[2].marks(now) {
                     let lease = entries[2].lease();
@@ -306,3 +315,37 @@
     assert!(lost < 25_000, "{lost} lost of {} held", before - used);
     assert!(before - used > 60_000, "the purse holds seconds of demand");
 }
+
+/// Load pattern: one entry gets most of the callers while no entry reaches the
+/// ledger; the others hold what it lacks.
+#[test]
+fn a_busy_entry_borrows_in_a_cut() {
+    let mut allowances = Allowances::default();
+    allowances.set_total(TEAM, 10_000_000);
+    let mut busy = Purses::new(1, false);
+    let mut calm = Purses::new(2, false);
+    let mut now = Time(0);
+    let mut refused = 0;
+    for round in 0..120 {
+        now = now + Span::millis(100);
+        let cut = round >= 50;
+        let rate = if cut { 4 } else { 1 };
+        for _ in 0..rate {
+            refused += usize::from(cut && busy.charge(TEAM, 1_000, now).is_err());
+        }
+        if cut {
+            for (team, amount) in busy.wishes(now) {
+                let loan = calm.lend(&team, amount);
+                busy.borrow(&team, loan);
+            }
+        } else {
+            let _ = busy.charge(TEAM, 1_000, now);
+            for _ in 0..4 {
+                let _ = calm.charge(TEAM, 1_000, now);
+            }
+            renew(&mut allowances, &mut busy, now);
+            renew(&mut allowances, &mut calm, now);
+        }
+    }
+    assert!(refused < 20, "{refused} of 280 refused");
+}
