--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`links`]: idle connections to engines.
 //! - [`mesh`]: news between processes and questions to the leader.
 //! - [`meter`]: counters and latency histograms.
+//! - [`outbox`]: messages of the log that wait for one replica.
 //! - [`process`]: a whole process.
 //! - [`record`]: the replicated state.
 //! - [`relay`]: one request's way.
@@ -22,6 +23,7 @@
 pub mod links;
 pub mod mesh;
 pub mod meter;
+pub mod outbox;
 pub mod process;
 pub mod record;
 pub mod relay;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -12,7 +12,6 @@
 use async_channel::Receiver;
 use async_io::Timer;
 use base::KeeperId;
-use base::Map;
 use base::Span;
 use base::Time;
 use consensus::Envelope;
@@ -46,8 +45,9 @@
 /// Longest wait for a peer's answer to an update.
 const UPDATE_WAIT: Span = Span::millis(600);
 
-/// Longest wait for a peer to take messages of the log.
-const REPLICA_WAIT: Span = Span::millis(400);
+/// Longest wait for a peer to take messages of the log: a megabyte takes half a second
+/// on the slowest links.
+const REPLICA_WAIT: Span = Span::millis(1_000);
 
 /// Longest wait for one answer of the leader.
 pub const LEADER_WAIT: Span = Span::millis(500);
@@ -584,30 +584,51 @@
     }
 }
 
-/// Sends messages of the log, those for one replica together.
+/// Sends messages of the log, those for one replica together and in order.
 pub async fn carry(shared: Arc<Shared>, envelopes: Receiver<Envelope>) {
-    while let Ok(first) = envelopes.recv().await {
-        let mut batches: Map<KeeperId, Vec<Envelope>> = Map::default();
-        batches.entry(first.to).or_default().push(first);
-        while let Ok(more) = envelopes.try_recv() {
-            batches.entry(more.to).or_default().push(more);
+    while let Ok(envelope) = envelopes.recv().await {
+        let keeper = envelope.to;
+        shared.outboxes().entry(keeper).or_default().push(envelope);
+        // Messages that were made together leave together.
+        if envelopes.is_empty() {
+            send_waiting(&shared);
         }
-        for (keeper, batch) in batches {
-            let address = {
-                let state = shared.state();
-                let mut peers = state.peers.values();
-                let found = peers.find(|peer| peer.member.keeper == Some(keeper));
-                found.map(|peer| peer.member.address)
-            };
-            if let Some(address) = address {
-                let shared = Arc::clone(&shared);
-                let pool = shared.pool.clone();
-                pool.spawn(async move {
-                    // What is lost is sent again by the log's own protocol.
-                    let _ = peer(&shared, address, Ask::Replica(batch), REPLICA_WAIT).await;
-                });
-            }
+    }
+}
+
+/// Starts sending to replicas for which messages wait and none are under way.
+fn send_waiting(shared: &Arc<Shared>) {
+    let mut ready = Vec::new();
+    for (&keeper, outbox) in shared.outboxes().iter_mut() {
+        if let Some(batch) = outbox.take() {
+            ready.push((keeper, batch));
+        }
+    }
+    for (keeper, batch) in ready {
+        let shared = Arc::clone(shared);
+        let pool = shared.pool.clone();
+        pool.spawn(async move { send_batches(&shared, keeper, batch).await });
+    }
+}
+
+/// Sends batch after batch to a replica until nothing waits.
+async fn send_batches(shared: &Shared, keeper: KeeperId, first: Vec<Envelope>) {
+    let mut next = Some(first);
+    while let Some(batch) = next {
+        let address = {
+            let state = shared.state();
+            let mut peers = state.peers.values();
+            let found = peers.find(|peer| peer.member.keeper == Some(keeper));
+            found.map(|peer| peer.member.address)
+        };
+        if let Some(address) = address {
+            // What is lost is sent again by the log's own protocol.
+            let _ = peer(shared, address, Ask::Replica(batch), REPLICA_WAIT).await;
         }
+        let mut outboxes = shared.outboxes();
+        let outbox = outboxes.entry(keeper).or_default();
+        outbox.done();
+        next = outbox.take();
     }
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -38,6 +38,7 @@
 use crate::council::Council;
 use crate::links::Links;
 use crate::meter::Meter;
+use crate::outbox::Outbox;
 
 /// Silence after which an engine isn't used, as a multiple of the time between its
 /// announcements; they may arrive seconds late.
@@ -142,6 +143,8 @@
     pub node: OnceLock<Node>,
     /// When the order to stop came, in microseconds; zero before.
     stopped: AtomicU64,
+    /// Messages for other replicas; locked after the state where both are.
+    outboxes: Mutex<Map<KeeperId, Outbox>>,
     state: Mutex<State>,
 }
 
@@ -269,6 +272,7 @@
             busy: AtomicUsize::new(0),
             node: OnceLock::new(),
             stopped: AtomicU64::new(0),
+            outboxes: Mutex::default(),
             state,
         }
     }
@@ -278,6 +282,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the messages for other replicas.
+    pub fn outboxes(&self) -> MutexGuard<'_, Map<KeeperId, Outbox>> {
+        self.outboxes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Begins a planned stop: the balancer is told, work goes on.
     pub fn stop(&self) {
         self.stopped.store(self.now().0.max(1), Ordering::Relaxed);
