--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -9,10 +9,10 @@
 use fleet::mesh::Answer;
 use fleet::mesh::Ask;
 use futures_lite::FutureExt as _;
-use ledger::Purses;
+use ledger::Grants;
 
-use crate::council::Council;
-use crate::council::Input;
+use crate::group::Group;
+use crate::group::Input;
 use crate::mesh::JOIN_EVERY;
 use crate::mesh::LEADER_WAIT;
 use crate::mesh::lead;
@@ -47,7 +47,7 @@
         let now = shared.now();
         let (terms, demands) = {
             let mut state = shared.state();
-            (state.purses.terms(), state.purses.demands(now))
+            (state.grants.terms(), state.grants.demands(now))
         };
         let lease = terms.id;
         if !demands.is_empty() {
@@ -56,7 +56,7 @@
                 Answer::Granted(Some(granted)) => {
                     let now = shared.now();
                     let mut state = shared.state();
-                    state.purses.granted(lease, &granted, now);
+                    state.grants.granted(lease, &granted, now);
                     if !std::mem::replace(&mut state.ledger_answers, true) {
                         log::info!("budget: event=ledger_regained lease={lease:x}");
                     }
@@ -64,7 +64,7 @@
                 Answer::Granted(None) => {
                     let fresh = fastrand::u64(1..);
                     log::warn!("budget: event=lease_closed lease={lease:x} next={fresh:x}");
-                    shared.state().purses = Purses::new(fresh, shared.council.is_some());
+                    shared.state().grants = Grants::new(fresh, shared.group.is_some());
                 }
                 _ => {
                     let mut state = shared.state();
@@ -93,7 +93,7 @@
 pub async fn close(shared: &Shared) {
     let (terms, demands) = {
         let mut state = shared.state();
-        (state.purses.terms(), state.purses.close())
+        (state.grants.terms(), state.grants.close())
     };
     if demands.is_empty() {
         return;
@@ -108,7 +108,7 @@
 pub fn lend(shared: &Shared, wishes: Vec<(String, u64)>) -> Answer {
     let mut state = shared.state();
     let lent = wishes.into_iter().map(|(team, amount)| {
-        let loan = state.purses.lend(&team, amount);
+        let loan = state.grants.lend(&team, amount);
         (team, loan)
     });
     Answer::Lent(lent.filter(|(_, loan)| *loan > 0).collect())
@@ -116,7 +116,7 @@
 
 /// Borrows from a peer while the ledger doesn't answer.
 async fn borrow(shared: &Shared, now: Time) {
-    let wishes = shared.state().purses.wishes(now);
+    let wishes = shared.state().grants.wishes(now);
     let Some(address) = fastrand::choice(near(shared)) else {
         return;
     };
@@ -124,14 +124,14 @@
         return;
     }
     let teams = wishes.len();
-    let lease = shared.state().purses.lease();
+    let lease = shared.state().grants.lease();
     // What is lent in an answer that is lost stays spent.
     if let Some(Answer::Lent(lent)) = peer(shared, address, Ask::Lend(wishes), LEND_WAIT).await {
         let mut state = shared.state();
         let sum: u64 = lent.iter().map(|(_, loan)| loan).sum();
-        if state.purses.lease() == lease {
+        if state.grants.lease() == lease {
             for (team, loan) in &lent {
-                state.purses.borrow(team, *loan);
+                state.grants.borrow(team, *loan);
             }
         }
         log::info!("budget: event=borrowed from={address} teams={teams} tokens={sum}");
@@ -140,7 +140,7 @@
 
 /// Opens grants on the disk as requests need them, on an instance that has one.
 pub async fn seal(shared: Arc<Shared>) {
-    let Some(council) = &shared.council else {
+    let Some(group) = &shared.group else {
         return;
     };
     loop {
@@ -148,19 +148,19 @@
         let now = shared.now();
         let (lease, marks) = {
             let mut state = shared.state();
-            (state.purses.lease(), state.purses.marks(now))
+            (state.grants.lease(), state.grants.marks(now))
         };
         if let Some(opened) = marks {
             let (reply, answer) = async_channel::bounded(1);
             let seal = Seal { lease, opened };
-            council.send(Input::Seal(seal.clone(), reply));
+            group.send(Input::Seal(seal.clone(), reply));
             let done = async { answer.recv().await.is_ok() };
             let late = async {
                 Timer::after(SEAL_WAIT).await;
                 false
             };
             if done.or(late).await {
-                shared.state().purses.opened(lease, &seal.opened);
+                shared.state().grants.opened(lease, &seal.opened);
                 shared.granted.notify(usize::MAX);
             } else {
                 unseal(&shared, lease).await;
@@ -179,12 +179,12 @@
     let fresh = fastrand::u64(1..);
     let (terms, demands) = {
         let mut state = shared.state();
-        if state.purses.lease() != lease {
+        if state.grants.lease() != lease {
             return;
         }
-        let terms = state.purses.terms();
-        let demands = state.purses.close();
-        state.purses = Purses::new(fresh, false);
+        let terms = state.grants.terms();
+        let demands = state.grants.close();
+        state.grants = Grants::new(fresh, false);
         (terms, demands)
     };
     log::warn!("budget: event=unsealed lease={lease:x} next={fresh:x} reason=\"the disk is slow\"");
@@ -195,7 +195,7 @@
 
 /// Gives back what an earlier run on this disk had not opened of its grants.
 pub async fn recover(shared: Arc<Shared>) {
-    let Some(seal) = shared.council.as_ref().and_then(Council::seal).cloned() else {
+    let Some(seal) = shared.group.as_ref().and_then(Group::seal).cloned() else {
         return;
     };
     let ask = Ask::Close(seal.lease, Some(seal.opened));
--- a/crates/gateway/src/council.rs
+++ b/crates/gateway/src/group.rs
@@ -118,7 +118,7 @@
 
 /// Why the thread can't go on.
 #[derive(Debug, Error)]
-pub enum CouncilError {
+pub enum GroupError {
     /// The disk failed.
     #[error(transparent)]
     Disk(#[from] DiskError),
@@ -130,7 +130,7 @@
     State(#[from] postcard::Error),
 }
 
-/// How a council is opened.
+/// How a group is opened.
 #[derive(Clone)]
 pub struct Start {
     /// The data folder.
@@ -143,9 +143,9 @@
     pub output: OutputFn,
 }
 
-/// A running council.
+/// A running group.
 #[derive(Clone)]
-pub struct Council {
+pub struct Group {
     inputs: mpsc::Sender<Input>,
     id: KeeperId,
     disk: u64,
@@ -157,7 +157,7 @@
     KeeperId(u32::try_from(disk & u64::from(u32::MAX)).unwrap_or(0))
 }
 
-impl Council {
+impl Group {
     /// Opens the data folder and starts the thread.
     ///
     /// # Errors
@@ -167,20 +167,20 @@
     /// # Panics
     ///
     /// Panics where the operating system starts no more threads.
-    pub fn open(start: Start) -> Result<Self, CouncilError> {
+    pub fn open(start: Start) -> Result<Self, GroupError> {
         let opened = Open::read(&start)?;
         let (inputs, queue) = mpsc::channel();
-        let council = Self {
+        let group = Self {
             inputs,
             id: opened.replica.id(),
             disk: opened.identity,
             seal: opened.seal.clone(),
         };
         thread::Builder::new()
-            .name("council".to_owned())
+            .name("group".to_owned())
             .spawn(move || run(&start, opened, &queue))
             .expect("the operating system starts a thread");
-        Ok(council)
+        Ok(group)
     }
 
     /// Returns the replica's number.
@@ -204,7 +204,7 @@
     /// Hands an input to the thread.
     pub fn send(&self, input: Input) {
         if self.inputs.send(input).is_err() {
-            log::error!("council: event=input_lost reason=stopped");
+            log::error!("group: event=input_lost reason=stopped");
         }
     }
 }
@@ -220,7 +220,7 @@
 }
 
 impl Open {
-    fn read(start: &Start) -> Result<Self, CouncilError> {
+    fn read(start: &Start) -> Result<Self, GroupError> {
         let folder = Folder::open(&start.folder, fastrand::u64(1..))?;
         let identity = folder.identity();
         let options = Options {
@@ -240,7 +240,7 @@
         let seed = fastrand::u64(..);
         let replica = Replica::new(number(identity), identity, found.saved, found.log, seed);
         log::info!(
-            "council: event=open replica={} records={} last={}",
+            "group: event=open replica={} records={} last={}",
             replica.id(),
             found.replayed,
             replica.log().last().index
@@ -290,7 +290,7 @@
             None => match Open::read(start) {
                 Ok(open) => open,
                 Err(error) => {
-                    log::warn!("council: event=reopen outcome=failed reason=\"{error}\"");
+                    log::warn!("group: event=reopen outcome=failed reason=\"{error}\"");
                     thread::sleep(REOPEN);
                     // Whoever asked learns that this replica can't answer.
                     while queue.try_recv().is_ok() {}
@@ -303,7 +303,7 @@
             Ok(()) => return,
             Err(error) => {
                 (start.output)(Output::Leader(None));
-                log::error!("council: event=disk_failed reason=\"{error}\"");
+                log::error!("group: event=disk_failed reason=\"{error}\"");
                 thread::sleep(REOPEN);
             }
         }
@@ -333,7 +333,7 @@
         }
     }
 
-    fn serve(&mut self, queue: &mpsc::Receiver<Input>) -> Result<(), CouncilError> {
+    fn serve(&mut self, queue: &mpsc::Receiver<Input>) -> Result<(), GroupError> {
         if self.open.record.version > 0 {
             self.announce();
         }
@@ -464,14 +464,14 @@
         let log = consensus::log::Log::new(snapshot, Vec::new());
         let seed = fastrand::u64(..);
         self.open.replica = Replica::new(id, self.open.identity, replica.saved(), log, seed);
-        log::info!("council: event=form replica={id}");
+        log::info!("group: event=form replica={id}");
     }
 
     fn propose(&mut self, command: &Command, reply: Reply) {
         let bytes = match postcard::to_stdvec(command) {
             Ok(bytes) => bytes,
             Err(error) => {
-                log::error!("council: event=encode outcome=failed reason=\"{error}\"");
+                log::error!("group: event=encode outcome=failed reason=\"{error}\"");
                 self.ready.push((reply, Answer::Unsure));
                 return;
             }
@@ -502,19 +502,19 @@
         match self.open.replica.change(change) {
             Ok((position, effects)) => {
                 log::info!(
-                    "council: event=members change={change:?} index={}",
+                    "group: event=members change={change:?} index={}",
                     position.index
                 );
                 self.gather(effects);
             }
-            Err(error) => log::debug!("council: event=join replica={} outcome={error}", joiner.id),
+            Err(error) => log::debug!("group: event=join replica={} outcome={error}", joiner.id),
         }
         // The joiner asks again until it's a member.
         self.ready.push((reply, Answer::Unsure));
     }
 
     /// Makes writes durable, applies what is committed and lets answers leave.
-    fn flush(&mut self) -> Result<(), CouncilError> {
+    fn flush(&mut self) -> Result<(), GroupError> {
         for (seal, reply) in self.seals.drain(..) {
             self.open.seals.write(&seal)?;
             self.ready.push((reply, Answer::Done));
@@ -579,7 +579,7 @@
         self.ready.push((pending.reply, answer));
     }
 
-    fn compact(&mut self) -> Result<(), CouncilError> {
+    fn compact(&mut self) -> Result<(), GroupError> {
         if self.open.replica.log().len() < COMPACT {
             return Ok(());
         }
@@ -604,7 +604,7 @@
         };
         if leader != self.leader {
             log::info!(
-                "council: event=leader leader={leader:?} term={} applied={}",
+                "group: event=leader leader={leader:?} term={} applied={}",
                 replica.term(),
                 self.applied
             );
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,7 +3,7 @@
 //! - [`budget`]: grants of teams' tokens.
 //! - [`conn`]: a TCP connection with what was read of it.
 //! - [`control`]: what engines, operators and the balancer ask.
-//! - [`council`]: the thread that owns a replica of the log and its disk.
+//! - [`group`]: the thread that owns a replica of the log and its disk.
 //! - [`front`]: callers' connections.
 //! - [`links`]: idle connections to engines.
 //! - [`mesh`]: news between processes and questions to the leader.
@@ -18,8 +18,8 @@
 pub mod budget;
 pub mod conn;
 pub mod control;
-pub mod council;
 pub mod front;
+pub mod group;
 pub mod links;
 pub mod mesh;
 pub mod meter;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -25,9 +25,9 @@
 use routing::placement::Placement;
 
 use crate::budget;
-use crate::council::Council;
-use crate::council::Input;
-use crate::council::Joiner;
+use crate::group::Group;
+use crate::group::Input;
+use crate::group::Joiner;
 use crate::state::PEER_GONE;
 use crate::state::Peer;
 use crate::state::Shared;
@@ -64,6 +64,10 @@
 /// Pause before the leader is asked once more.
 const LEADER_PAUSE: Duration = Duration::from_millis(40);
 
+/// Gap between two rounds of updates that is logged: the process stood still or was
+/// very slow.
+const STOOD_STILL: Span = Span::millis(1_000);
+
 /// Time between two lines on the memory in use.
 const MEMORY_EVERY: Duration = Duration::from_secs(5);
 
@@ -99,9 +103,9 @@
             take_update(&shared, *update);
             Answer::Version(version(&shared))
         }
-        Ask::Replica(envelopes) => match &shared.council {
-            Some(council) => {
-                council.send(Input::Messages(envelopes));
+        Ask::Replica(envelopes) => match &shared.group {
+            Some(group) => {
+                group.send(Input::Messages(envelopes));
                 Answer::Done
             }
             None => Answer::Unsure,
@@ -121,9 +125,9 @@
         },
         Ask::Join(..) | Ask::Submit(..) | Ask::Read | Ask::Draw(..) | Ask::Close(..) => {
             let leader = shared.state().leader;
-            match &shared.council {
-                Some(council) if leader == Some(shared.own.address) => {
-                    decide(&shared, council, ask).await
+            match &shared.group {
+                Some(group) if leader == Some(shared.own.address) => {
+                    decide(&shared, group, ask).await
                 }
                 _ => Answer::Elsewhere(leader),
             }
@@ -132,7 +136,7 @@
 }
 
 /// Asks the replica here, which leads.
-async fn decide(shared: &Shared, council: &Council, ask: Ask) -> Answer {
+async fn decide(shared: &Shared, group: &Group, ask: Ask) -> Answer {
     let (reply, answer) = async_channel::bounded(1);
     let input = match ask {
         Ask::Submit(version, body) => {
@@ -151,7 +155,7 @@
             return Answer::Unsure;
         }
     };
-    council.send(input);
+    group.send(input);
     let late = async {
         Timer::after(LEADER_WAIT.into()).await;
         Answer::Unsure
@@ -209,9 +213,9 @@
     let mut hint = None;
     loop {
         let leader = hint.take().or(shared.state().leader);
-        let answer = match (leader, &shared.council) {
-            (Some(address), Some(council)) if address == shared.own.address => {
-                decide(shared, council, ask.clone()).await
+        let answer = match (leader, &shared.group) {
+            (Some(address), Some(group)) if address == shared.own.address => {
+                decide(shared, group, ask.clone()).await
             }
             (Some(address), _) => {
                 let wait = LEADER_WAIT.min(shared.now().until(until));
@@ -297,11 +301,11 @@
             },
         );
     }
-    if let (Some(lease), Some(council)) = (bury, &shared.council)
+    if let (Some(lease), Some(group)) = (bury, &shared.group)
         && state.leader == Some(shared.own.address)
     {
         let (reply, _) = async_channel::bounded(1);
-        council.send(Input::Close(lease, None, reply));
+        group.send(Input::Close(lease, None, reply));
     }
     if direct && let Some(peer) = state.peers.get_mut(&member.address) {
         peer.heard = now;
@@ -325,7 +329,7 @@
         let news = state.directory.announce(heard.said, at);
         if news == News::Changed {
             changed = true;
-            if shared.council.is_some() {
+            if shared.group.is_some() {
                 state.spread(&id);
             }
             log::info!(
@@ -349,7 +353,7 @@
         peer.serving = update.serving && !update.leaving;
         peer.lease = update.lease;
     }
-    let own = shared.council.is_some() && state.joined;
+    let own = shared.group.is_some() && state.joined;
     if !own && update.leader.is_some() {
         state.leader = update.leader;
     }
@@ -363,7 +367,7 @@
         let pool = shared.pool.clone();
         pool.spawn(async move { pull(&shared, update.from.address).await });
     }
-    if changed && shared.council.is_some() {
+    if changed && shared.group.is_some() {
         shared.news.notify(usize::MAX);
     }
 }
@@ -414,7 +418,7 @@
         version: state.table.as_ref().map_or(0, |table| table.site().version),
         leader: state.leader,
         founder: state.founder,
-        lease: state.purses.lease(),
+        lease: state.grants.lease(),
         serving: shared.health.serving(),
         leaving: shared.health.stopping(),
     };
@@ -454,9 +458,15 @@
 
 /// Tells all peers the news, for as long as the process runs.
 pub async fn tell(shared: Arc<Shared>) {
+    let mut last = shared.now();
     loop {
         let listener = shared.news.listen();
         let now = shared.now();
+        let gap = last.until(now);
+        if gap > STOOD_STILL {
+            log::warn!("gateway: event=woke gap_ms={}", gap.as_millis());
+        }
+        last = now;
         name_founder(&shared, now);
         for address in targets(&shared, now) {
             let (update, ids) = update_for(&shared, address, now);
@@ -533,13 +543,13 @@
         state.peers.remove(&address);
         log::warn!("mesh: event=forgot peer={address}");
     }
-    if let Some(council) = &shared.council
+    if let Some(group) = &shared.group
         && state.leader == Some(shared.own.address)
         && Span(now.0) > REPLACE
     {
         let mut live: Vec<u64> = state.peers.values().map(|peer| peer.lease).collect();
-        live.push(state.purses.lease());
-        council.send(Input::Bury(live));
+        live.push(state.grants.lease());
+        group.send(Input::Bury(live));
     }
     let confirmed = state.confirmed || Span(now.0) > CONFIRM;
     if confirmed && !state.confirmed && state.table.is_some() {
@@ -571,16 +581,16 @@
             .keeper
             .or(other.filter(|_| Span(now.0) > NAME_AFTER));
         if let Some(founder) = named {
-            log::info!("council: event=founder replica={founder}");
+            log::info!("group: event=founder replica={founder}");
             state.founder = named;
         }
     }
     let chosen = state.founder.is_some() && state.founder == shared.own.keeper;
     if chosen
         && !state.joined
-        && let Some(council) = &shared.council
+        && let Some(group) = &shared.group
     {
-        council.send(Input::Form);
+        group.send(Input::Form);
     }
 }
 
@@ -634,7 +644,7 @@
 
 /// Asks to join the group until the replica here belongs to it.
 pub async fn join(shared: Arc<Shared>) {
-    let Some(council) = &shared.council else {
+    let Some(group) = &shared.group else {
         return;
     };
     loop {
@@ -646,7 +656,7 @@
         if joined || leader.is_none() {
             continue;
         }
-        let ask = Ask::Join(council.id(), council.disk(), shared.own.address);
+        let ask = Ask::Join(group.id(), group.disk(), shared.own.address);
         // The answer says nothing that membership itself doesn't.
         let _ = lead(&shared, &ask, LEADER_WAIT).await;
     }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -23,12 +23,12 @@
 
 use crate::budget;
 use crate::control;
-use crate::council::Council;
-use crate::council::CouncilError;
-use crate::council::Input;
-use crate::council::Output;
-use crate::council::Start;
 use crate::front;
+use crate::group::Group;
+use crate::group::GroupError;
+use crate::group::Input;
+use crate::group::Output;
+use crate::group::Start;
 use crate::mesh;
 use crate::state::Shared;
 
@@ -52,7 +52,7 @@
     Fleet(#[from] FleetError),
     /// The data folder can't be used.
     #[error(transparent)]
-    Council(#[from] CouncilError),
+    Group(#[from] GroupError),
     /// An address can't be bound.
     #[error("{address} can't be bound: {source}")]
     Bind {
@@ -85,7 +85,7 @@
         let address = SocketAddr::from((settings.ip, settings.ports.0));
         let (outputs, taken) = async_channel::unbounded();
         let (sender, envelopes) = async_channel::bounded(WAITING);
-        let council = match &settings.data {
+        let group = match &settings.data {
             Some(folder) => {
                 let start = Start {
                     folder: folder.clone(),
@@ -98,21 +98,21 @@
                         };
                         if lost {
                             // The log's own protocol sends messages again.
-                            log::debug!("council: event=output outcome=lost");
+                            log::debug!("group: event=output outcome=lost");
                         }
                     }),
                 };
-                Some(Council::open(start)?)
+                Some(Group::open(start)?)
             }
             None => None,
         };
         let own = Member {
             run: fastrand::u64(1..),
             address,
-            keeper: council.as_ref().map(Council::id),
-            disk: council.as_ref().map_or(0, Council::disk),
+            keeper: group.as_ref().map(Group::id),
+            disk: group.as_ref().map_or(0, Group::disk),
             domain: settings.domain.clone(),
-            founding: settings.first_start && council.is_some(),
+            founding: settings.first_start && group.is_some(),
         };
         log::info!(
             "gateway: event=start name={} domain={} address={address} keeper={:?} first_start={} seeds={:?}",
@@ -122,7 +122,7 @@
             settings.first_start,
             settings.seeds
         );
-        let shared = Arc::new(Shared::new(settings, pool, own, council, clock));
+        let shared = Arc::new(Shared::new(settings, pool, own, group, clock));
         let node = Node::bind(
             pool,
             address,
@@ -193,9 +193,9 @@
             Timer::after(Duration::from_millis(50)).await;
         }
         budget::close(shared).await;
-        if let Some(council) = &shared.council {
+        if let Some(group) = &shared.group {
             let (done, stopped) = async_channel::bounded(1);
-            council.send(Input::Stop(done));
+            group.send(Input::Stop(done));
             // The channel is closed where the replica has failed before.
             let _ = stopped.recv().await;
             Timer::after(HAND_OVER).await;
@@ -245,7 +245,7 @@
                 shared.news.notify(usize::MAX);
             }
             Output::Member(joined) => {
-                log::info!("council: event=member joined={joined}");
+                log::info!("group: event=member joined={joined}");
                 shared.state().joined = joined;
             }
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -22,7 +22,7 @@
 use futures_lite::FutureExt as _;
 use http::RequestHead;
 use http::ResponseHead;
-use ledger::purse::Short;
+use ledger::grants::Short;
 use platform::call;
 use platform::call::Outgoing;
 use routing::Call;
@@ -260,7 +260,7 @@
         self.shared.now().until(self.deadline)
     }
 
-    /// Charges the request at its most; waits for a grant where the purse is short.
+    /// Charges the request at its most; waits for a grant where the grants are short.
     async fn take_charge(&self, team: &str) -> Result<Charge<'a>, Refuse> {
         let most = self.request.call.most();
         let give_up =
@@ -271,9 +271,9 @@
             let hopeless;
             let charged = {
                 let mut state = self.shared.state();
-                let charged = state.purses.charge(team, most, now);
+                let charged = state.grants.charge(team, most, now);
                 hopeless = !state.ledger_answers;
-                charged.map(|()| state.purses.lease())
+                charged.map(|()| state.grants.lease())
             };
             match charged {
                 Ok(lease) => {
--- a/crates/gateway/src/relay/guards.rs
+++ b/crates/gateway/src/relay/guards.rs
@@ -24,7 +24,7 @@
     fn drop(&mut self) {
         let mut state = self.shared.state();
         let (lease, most, used) = (self.lease, self.most, self.used);
-        state.purses.settle(lease, &self.team, most, used);
+        state.grants.settle(lease, &self.team, most, used);
     }
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -24,7 +24,7 @@
 use host::Health;
 use host::Pool;
 use host::metrics::Metrics;
-use ledger::Purses;
+use ledger::Grants;
 use platform::settings::NodeSettings;
 use routing::Directory;
 use routing::directory::Announcement;
@@ -35,7 +35,7 @@
 use routing::repeats::Bound;
 use routing::repeats::Repeats;
 
-use crate::council::Council;
+use crate::group::Group;
 use crate::links::Links;
 use crate::meter::Meter;
 use crate::outbox::Outbox;
@@ -94,7 +94,7 @@
     /// Idle connections to engines.
     pub links: Links,
     /// Grants of the teams.
-    pub purses: Purses,
+    pub grants: Grants,
     /// Whether the ledger answered the last time it was asked.
     pub ledger_answers: bool,
     /// The budget for repeated sends.
@@ -126,7 +126,7 @@
     /// This process as a member of the mesh.
     pub own: Member,
     /// The replica, on an instance with a disk.
-    pub council: Option<Council>,
+    pub group: Option<Group>,
     /// The metrics.
     pub meter: Meter,
     /// Whether new callers are welcome.
@@ -169,7 +169,7 @@
             directory: Directory::default(),
             places: Map::default(),
             links: Links::default(),
-            purses: Purses::new(fastrand::u64(1..), sealed),
+            grants: Grants::new(fastrand::u64(1..), sealed),
             ledger_answers: true,
             repeats: Repeats::new(Bound {
                 ratio: bounds.repeat_ratio,
@@ -254,16 +254,16 @@
         settings: NodeSettings,
         pool: &Pool,
         own: Member,
-        council: Option<Council>,
+        group: Option<Group>,
         clock: Clock,
     ) -> Self {
-        let state = Mutex::new(State::new(&settings, council.is_some()));
+        let state = Mutex::new(State::new(&settings, group.is_some()));
         Self {
             settings,
             clock,
             pool: pool.clone(),
             own,
-            council,
+            group,
             meter: Meter::register(&Metrics::default()),
             health: Health::default(),
             granted: Event::new(),
@@ -345,10 +345,10 @@
                 .filter_map(|known| known.budget)
                 .any(|old| Some(old) > team.budget);
             if fell {
-                state.purses.empty(&team.name);
+                state.grants.empty(&team.name);
             }
         }
-        state.purses.reconsider();
+        state.grants.reconsider();
         let routes = site.routes.len();
         state.table = Some(Arc::new(Table::new(site)));
         state.body = Arc::new(body);
--- a/crates/ledger/src/purse.rs
+++ b/crates/ledger/src/grants.rs
@@ -1,7 +1,7 @@
 //! An entry's grants for each team and what it charges against them.
 //!
 //! A request is charged at its most before it's sent and given back what it didn't
-//! use when it has ended. Grants follow demand: a purse asks for what the next
+//! use when it has ended. Grants follow demand: an entry asks for what the next
 //! moments need and gives back what stays unused.
 
 use base::Map;
@@ -12,7 +12,7 @@
 use crate::allowance::Granted;
 use crate::allowance::Lease;
 
-/// Demand that a purse holds ahead: an entry that is cut off from the ledger goes on
+/// Demand that an entry holds ahead: an entry that is cut off from the ledger goes on
 /// for this long. Cuts of single machines last up to nine seconds; what a dead entry
 /// holds is lost to its team, so more isn't held.
 const AHEAD: Span = Span::millis(9_000);
@@ -20,11 +20,11 @@
 /// Window of the demand's average.
 const WINDOW: Span = Span::millis(4_000);
 
-/// Part of what a sealed purse holds ahead that is opened: what a crash costs. A
+/// Part of what a sealed entry holds ahead that is opened: what a crash costs. A
 /// stalled disk is noticed well within it.
 const OPEN_PART: u64 = 5;
 
-/// Part of what a purse holds ahead that it asks another entry to lend at once.
+/// Part of what an entry holds ahead that it asks another entry to lend at once.
 const LOAN_PART: u64 = 6;
 
 /// Age up to which the ledger's answer decides; it's asked again several times a
@@ -34,12 +34,12 @@
 /// Least age of an average: the first requests alone say little.
 const YOUNG: Span = Span::millis(1_000);
 
-/// Unused demand above which a purse gives back, as a multiple of what it holds
+/// Unused demand above which an entry gives back, as a multiple of what it holds
 /// ahead.
 const SURPLUS: u64 = 2;
 
 #[derive(Clone, Copy, Debug, Default)]
-struct Purse {
+struct TeamGrants {
     granted: u64,
     /// Lent by other entries, on whose grants it counts as spent.
     lent: u64,
@@ -48,7 +48,7 @@
     charged: u64,
     /// The part of it that ended requests have used.
     spent: u64,
-    /// What may be charged as far as the disk says, where the purse is sealed.
+    /// What may be charged as far as the disk says, where the grants are sealed.
     opened: u64,
     /// Largest request that waits for a grant.
     short: u64,
@@ -82,7 +82,7 @@
     Exhausted,
 }
 
-impl Purse {
+impl TeamGrants {
     fn rest(&self) -> u64 {
         self.granted + self.lent - self.returned - self.charged
     }
@@ -94,7 +94,7 @@
         self.touched = now;
     }
 
-    /// Returns what the purse should hold ahead at `now`.
+    /// Returns what the entry should hold ahead at `now`.
     #[allow(
         clippy::cast_precision_loss,
         clippy::cast_possible_truncation,
@@ -111,19 +111,19 @@
     }
 }
 
-/// An entry's purses under one lease.
+/// An entry's grants under one lease.
 #[derive(Clone, Debug)]
-pub struct Purses {
+pub struct Grants {
     lease: u64,
     /// Whether no more is charged than the disk says was opened.
     sealed: bool,
-    teams: Map<String, Purse>,
+    teams: Map<String, TeamGrants>,
 }
 
-impl Purses {
-    /// Returns empty purses under `lease`, a number that was never used before.
+impl Grants {
+    /// Returns no grants under `lease`, a number that was never used before.
     ///
-    /// Sealed purses charge no more than was opened on a disk before: after a crash
+    /// Sealed grants charge no more than was opened on a disk before: after a crash
     /// the rest of their grants is known to be unspent.
     #[must_use]
     pub fn new(lease: u64, sealed: bool) -> Self {
@@ -140,7 +140,7 @@
         self.lease
     }
 
-    /// Returns what the purses draw under.
+    /// Returns what the entry draws under.
     #[must_use]
     pub fn terms(&self) -> Lease {
         Lease {
@@ -149,9 +149,9 @@
         }
     }
 
-    fn purse(&mut self, team: &str) -> &mut Purse {
+    fn of(&mut self, team: &str) -> &mut TeamGrants {
         if !self.teams.contains_key(team) {
-            self.teams.insert(team.to_owned(), Purse::default());
+            self.teams.insert(team.to_owned(), TeamGrants::default());
         }
         self.teams.entry(team.to_owned()).or_default()
     }
@@ -160,26 +160,26 @@
     ///
     /// # Errors
     ///
-    /// Fails where the purse holds less; the next demand then asks for it.
+    /// Fails where the team's grants hold less; the next demand then asks for it.
     pub fn charge(&mut self, team: &str, amount: u64, now: Time) -> Result<(), Short> {
         let sealed = self.sealed;
-        let purse = self.purse(team);
-        purse.decay(now);
-        if sealed && purse.rest() >= amount && purse.opened < purse.charged + amount {
-            purse.short = purse.short.max(amount);
+        let held = self.of(team);
+        held.decay(now);
+        if sealed && held.rest() >= amount && held.opened < held.charged + amount {
+            held.short = held.short.max(amount);
             return Err(Short::Sealed);
         }
-        if purse.rest() >= amount {
+        if held.rest() >= amount {
             #[allow(clippy::cast_precision_loss)]
             let demand = amount as f64;
-            purse.demand += demand;
-            purse.began = purse.began.or(Some(now));
-            purse.charged += amount;
+            held.demand += demand;
+            held.began = held.began.or(Some(now));
+            held.charged += amount;
             return Ok(());
         }
-        let missing = amount - purse.rest();
-        purse.short = purse.short.max(amount);
-        match purse.answer {
+        let missing = amount - held.rest();
+        held.short = held.short.max(amount);
+        match held.answer {
             Some(answer) if answer.at.until(now) > FRESH => Err(Short::Ungranted),
             Some(answer) if answer.rest < missing => Err(Short::Exhausted),
             Some(answer) if answer.free < missing => Err(Short::Held),
@@ -190,33 +190,33 @@
     /// Settles a request that was charged `charged` under `lease` and used `used`.
     pub fn settle(&mut self, lease: u64, team: &str, charged: u64, used: u64) {
         if lease == self.lease {
-            let purse = self.purse(team);
+            let held = self.of(team);
             let used = used.min(charged);
-            purse.charged = purse.charged.saturating_sub(charged - used);
-            purse.spent += used;
+            held.charged = held.charged.saturating_sub(charged - used);
+            held.spent += used;
         }
     }
 
-    /// Returns the demands to send; empty where every purse holds what it needs.
+    /// Returns the demands to send; empty where every team has what it needs.
     pub fn demands(&mut self, now: Time) -> Vec<Demand> {
         let mut demands = Vec::new();
-        for (team, purse) in &mut self.teams {
-            purse.decay(now);
-            let ahead = purse.ahead(now);
-            let rest = purse.rest();
-            if rest > SURPLUS * ahead.max(1) && purse.granted > purse.returned {
-                purse.returned += (rest - ahead).min(purse.granted - purse.returned);
-            } else if rest * 10 > ahead * 9 && rest >= purse.short {
+        for (team, held) in &mut self.teams {
+            held.decay(now);
+            let ahead = held.ahead(now);
+            let rest = held.rest();
+            if rest > SURPLUS * ahead.max(1) && held.granted > held.returned {
+                held.returned += (rest - ahead).min(held.granted - held.returned);
+            } else if rest * 10 > ahead * 9 && rest >= held.short {
                 continue;
             }
-            let rest = purse.rest();
-            let need = purse.short.saturating_sub(rest);
+            let rest = held.rest();
+            let need = held.short.saturating_sub(rest);
             demands.push(Demand {
                 team: team.clone(),
-                want: purse.granted + ahead.saturating_sub(rest),
-                need: purse.granted + need,
-                returned: purse.returned,
-                spent: purse.spent,
+                want: held.granted + ahead.saturating_sub(rest),
+                need: held.granted + need,
+                returned: held.returned,
+                spent: held.spent,
             });
         }
         demands
@@ -225,15 +225,15 @@
     /// Gives all unused grants back, before a planned stop. Returns the demands that
     /// say so.
     pub fn close(&mut self) -> Vec<Demand> {
-        let close = |(team, purse): (&String, &mut Purse)| {
-            purse.returned += purse.rest();
-            purse.short = 0;
+        let close = |(team, held): (&String, &mut TeamGrants)| {
+            held.returned += held.rest();
+            held.short = 0;
             Demand {
                 team: team.clone(),
                 want: 0,
                 need: 0,
-                returned: purse.returned,
-                spent: purse.spent,
+                returned: held.returned,
+                spent: held.spent,
             }
         };
         self.teams.iter_mut().map(close).collect()
@@ -243,10 +243,10 @@
     /// each team that is short, with an amount.
     pub fn wishes(&mut self, now: Time) -> Vec<(String, u64)> {
         let mut wishes = Vec::new();
-        for (team, purse) in &mut self.teams {
-            purse.decay(now);
-            if purse.short > 0 && purse.rest() < purse.short {
-                let amount = purse.short.max(purse.ahead(now) / LOAN_PART);
+        for (team, held) in &mut self.teams {
+            held.decay(now);
+            if held.short > 0 && held.rest() < held.short {
+                let amount = held.short.max(held.ahead(now) / LOAN_PART);
                 wishes.push((team.clone(), amount));
             }
         }
@@ -257,41 +257,41 @@
     /// have as long to go as this one. What is lent counts as spent here.
     pub fn lend(&mut self, team: &str, amount: u64) -> u64 {
         let sealed = self.sealed;
-        let purse = self.purse(team);
-        let mut loan = amount.min(purse.rest() / 2);
+        let held = self.of(team);
+        let mut loan = amount.min(held.rest() / 2);
         if sealed {
-            loan = loan.min(purse.opened.saturating_sub(purse.charged));
+            loan = loan.min(held.opened.saturating_sub(held.charged));
         }
-        purse.charged += loan;
-        purse.spent += loan;
+        held.charged += loan;
+        held.spent += loan;
         loan
     }
 
     /// Takes in what another entry has lent.
     pub fn borrow(&mut self, team: &str, amount: u64) {
         let sealed = self.sealed;
-        let purse = self.purse(team);
-        purse.lent += amount;
-        if purse.rest() >= purse.short && !sealed {
-            purse.short = 0;
+        let held = self.of(team);
+        held.lent += amount;
+        if held.rest() >= held.short && !sealed {
+            held.short = 0;
         }
     }
 
-    /// Returns what the disk should say is opened, where a purse needs more soon.
+    /// Returns what the disk should say is opened, where a team needs more soon.
     pub fn marks(&mut self, now: Time) -> Option<Vec<(String, u64)>> {
         if !self.sealed {
             return None;
         }
         let mut due = false;
         let mut marks = Vec::with_capacity(self.teams.len());
-        for (team, purse) in &mut self.teams {
-            purse.decay(now);
-            let ahead = purse.ahead(now) - purse.short;
-            let target = purse.charged + purse.short + ahead / OPEN_PART;
-            let most = purse.granted + purse.lent - purse.returned;
-            let target = target.min(most).max(purse.opened);
-            let least = purse.charged + purse.short + ahead / OPEN_PART / 2;
-            due |= purse.opened < least && target > purse.opened;
+        for (team, held) in &mut self.teams {
+            held.decay(now);
+            let ahead = held.ahead(now) - held.short;
+            let target = held.charged + held.short + ahead / OPEN_PART;
+            let most = held.granted + held.lent - held.returned;
+            let target = target.min(most).max(held.opened);
+            let least = held.charged + held.short + ahead / OPEN_PART / 2;
+            due |= held.opened < least && target > held.opened;
             marks.push((team.clone(), target));
         }
         due.then_some(marks)
@@ -303,10 +303,10 @@
             return;
         }
         for (team, opened) in marks {
-            let purse = self.purse(team);
-            purse.opened = purse.opened.max(*opened);
-            if purse.rest() >= purse.short && purse.opened >= purse.charged + purse.short {
-                purse.short = 0;
+            let held = self.of(team);
+            held.opened = held.opened.max(*opened);
+            if held.rest() >= held.short && held.opened >= held.charged + held.short {
+                held.short = 0;
             }
         }
     }
@@ -318,29 +318,29 @@
         }
         let sealed = self.sealed;
         for answer in answers {
-            let purse = self.purse(&answer.team);
-            purse.granted = purse.granted.max(answer.granted);
-            purse.answer = Some(Answer {
+            let held = self.of(&answer.team);
+            held.granted = held.granted.max(answer.granted);
+            held.answer = Some(Answer {
                 at: now,
                 free: answer.free,
                 rest: answer.rest,
             });
-            if purse.rest() >= purse.short && !sealed {
-                purse.short = 0;
+            if held.rest() >= held.short && !sealed {
+                held.short = 0;
             }
         }
     }
 
     /// Forgets what the ledger said of totals, after they changed.
     pub fn reconsider(&mut self) {
-        for purse in self.teams.values_mut() {
-            purse.answer = None;
+        for held in self.teams.values_mut() {
+            held.answer = None;
         }
     }
 
     /// Gives all unused grants of `team` back, after its total fell.
     pub fn empty(&mut self, team: &str) {
-        let purse = self.purse(team);
-        purse.returned += purse.rest();
+        let held = self.of(team);
+        held.returned += held.rest();
     }
 }
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -9,7 +9,7 @@
 //! - [`allowance`]: one total for each team, handed out to entries in grants.
 //! - [`central`]: the replicated [`Ledger`], changed by committed [`Command`]s.
 //! - [`dedup`]: the window of requests that have been billed.
-//! - [`purse`]: an entry's grants for each team and its charges.
+//! - [`grants`]: an entry's grants for each team and its charges.
 //! - [`reclaim`]: when a lease's rest may be taken back.
 //! - [`share`]: a keeper's [`Share`], changed by journaled [`Event`]s.
 //! - [`text`]: the canonical text form of commands, for files and dumps.
@@ -20,7 +20,7 @@
 pub mod allowance;
 pub mod central;
 pub mod dedup;
-pub mod purse;
+pub mod grants;
 pub mod reclaim;
 pub mod share;
 pub mod text;
@@ -35,7 +35,7 @@
 pub use crate::central::Ledger;
 pub use crate::central::Move;
 pub use crate::central::Outcome;
-pub use crate::purse::Purses;
+pub use crate::grants::Grants;
 pub use crate::reclaim::Tenancies;
 pub use crate::share::Bill;
 pub use crate::share::Event;
--- a/crates/ledger/tests/purse.rs
+++ b/crates/ledger/tests/grants.rs
@@ -1,14 +1,14 @@
-//! Entries' purses against the replicated allowances.
+//! Entries' grants against the replicated allowances.
 
 use std::collections::BTreeMap;
 
 use base::Span;
 use base::Time;
 use ledger::Allowances;
-use ledger::Purses;
+use ledger::Grants;
 use ledger::allowance::Demand;
 use ledger::allowance::Lease;
-use ledger::purse::Short;
+use ledger::grants::Short;
 use quickcheck::Arbitrary;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
@@ -19,31 +19,31 @@
     Lease { id, sealed: false }
 }
 
-fn renew(allowances: &mut Allowances, purses: &mut Purses, now: Time) {
-    let demands = purses.demands(now);
-    let lease = purses.lease();
-    let granted = allowances.draw(purses.terms(), &demands, now.0 / 1_000);
-    purses.granted(lease, &granted.expect("the lease is open"), now);
+fn renew(allowances: &mut Allowances, grants: &mut Grants, now: Time) {
+    let demands = grants.demands(now);
+    let lease = grants.lease();
+    let granted = allowances.draw(grants.terms(), &demands, now.0 / 1_000);
+    grants.granted(lease, &granted.expect("the lease is open"), now);
 }
 
 /// Load pattern: steady requests, and after a few seconds the entry is cut off from
 /// the ledger for eight seconds.
 #[test]
-fn a_purse_outlasts_a_cut() {
+fn grants_outlast_a_cut() {
     let mut allowances = Allowances::default();
     allowances.set_total(TEAM, 100_000_000);
-    let mut purses = Purses::new(1, false);
+    let mut grants = Grants::new(1, false);
     let step = Span::millis(50);
     let mut now = Time(0);
     let mut refused = 0;
     for round in 0..280 {
         now = now + step;
         let cut = (100..260).contains(&round);
-        if purses.charge(TEAM, 6_000, now).is_err() {
+        if grants.charge(TEAM, 6_000, now).is_err() {
             refused += usize::from(round > 20);
         }
         if !cut && round % 5 == 0 {
-            renew(&mut allowances, &mut purses, now);
+            renew(&mut allowances, &mut grants, now);
         }
     }
     assert_eq!(refused, 0, "requests refused for want of a grant");
@@ -86,7 +86,7 @@
     let mut highest = total;
     allowances.set_total(TEAM, total);
     let mut next_lease = 10;
-    let mut entries: Vec<Purses> = (0..3).map(|lease| Purses::new(lease, lease == 2)).collect();
+    let mut entries: Vec<Grants> = (0..3).map(|lease| Grants::new(lease, lease == 2)).collect();
     let mut last: BTreeMap<u8, (Lease, Vec<Demand>)> = BTreeMap::new();
     let mut charged = [0_u64; 3];
     let mut spent = 0;
@@ -148,7 +148,7 @@
                     let lease = entries[at].lease();
                     allowances.close(lease, Some(&std::mem::take(&mut disk)), now.0 / 1_000);
                 }
-                entries[at] = Purses::new(next_lease, at == 2);
+                entries[at] = Grants::new(next_lease, at == 2);
                 next_lease += 1;
             }
             Step::Total(amount) => {
@@ -201,16 +201,16 @@
     let mut now = Time(0);
     let mut used = 0;
     for lease in 1..=8 {
-        let mut purses = Purses::new(lease, false);
+        let mut grants = Grants::new(lease, false);
         for _ in 0..20 {
             now = now + Span::millis(100);
-            if purses.charge(TEAM, 1_000, now).is_ok() {
-                purses.settle(lease, TEAM, 1_000, 600);
+            if grants.charge(TEAM, 1_000, now).is_ok() {
+                grants.settle(lease, TEAM, 1_000, 600);
                 used += 600;
             }
-            renew(&mut allowances, &mut purses, now);
+            renew(&mut allowances, &mut grants, now);
         }
-        let demands = purses.close();
+        let demands = grants.close();
         let closed = allowances.draw(plain(lease), &demands, now.0 / 1_000);
         assert!(closed.is_some(), "the lease is open");
     }
@@ -225,17 +225,17 @@
     allowances.set_total(TEAM, 1_000_000);
     let mut now = Time(0);
     for round in 0..3_u64 {
-        let mut entries: Vec<Purses> = (0..6)
-            .map(|n| Purses::new(100 * round + n, false))
+        let mut entries: Vec<Grants> = (0..6)
+            .map(|n| Grants::new(100 * round + n, false))
             .collect();
         for _ in 0..40 {
             now = now + Span::millis(100);
-            for purses in &mut entries {
-                let lease = purses.lease();
-                if purses.charge(TEAM, 900, now).is_ok() {
-                    purses.settle(lease, TEAM, 900, 500);
+            for grants in &mut entries {
+                let lease = grants.lease();
+                if grants.charge(TEAM, 900, now).is_ok() {
+                    grants.settle(lease, TEAM, 900, 500);
                 }
-                renew(&mut allowances, purses, now);
+                renew(&mut allowances, grants, now);
             }
         }
     }
@@ -254,18 +254,18 @@
 fn small_requests_pass_large_ones_that_do_not_fit() {
     let mut allowances = Allowances::default();
     allowances.set_total(TEAM, 5_000);
-    let mut purses = Purses::new(1, false);
+    let mut grants = Grants::new(1, false);
     let mut now = Time(0);
     let mut small = 0;
     for _ in 0..10 {
         now = now + Span::millis(50);
-        let large = purses.charge(TEAM, 20_000, now);
+        let large = grants.charge(TEAM, 20_000, now);
         assert_ne!(large, Ok(()));
-        small += usize::from(purses.charge(TEAM, 400, now).is_ok());
-        renew(&mut allowances, &mut purses, now);
+        small += usize::from(grants.charge(TEAM, 400, now).is_ok());
+        renew(&mut allowances, &mut grants, now);
     }
     assert!(small >= 9, "{small} small requests were charged");
-    assert_eq!(purses.charge(TEAM, 20_000, now), Err(Short::Exhausted));
+    assert_eq!(grants.charge(TEAM, 20_000, now), Err(Short::Exhausted));
 }
 
 /// What other entries hold unspent isn't spent: a refusal must not say so.
@@ -273,8 +273,8 @@
 fn what_others_hold_is_not_exhausted() {
     let mut allowances = Allowances::default();
     allowances.set_total(TEAM, 5_000);
-    let mut one = Purses::new(1, false);
-    let mut two = Purses::new(2, false);
+    let mut one = Grants::new(1, false);
+    let mut two = Grants::new(2, false);
     let now = Time(1);
     let _ = one.charge(TEAM, 4_500, now);
     renew(&mut allowances, &mut one, now);
@@ -286,25 +286,25 @@
 
 /// Load pattern: an entry with a disk is killed while it holds grants for seconds.
 #[test]
-fn a_crash_costs_a_sealed_purse_little() {
+fn a_crash_costs_sealed_grants_little() {
     let mut allowances = Allowances::default();
     allowances.set_total(TEAM, 1_000_000);
-    let mut purses = Purses::new(1, true);
+    let mut grants = Grants::new(1, true);
     let mut now = Time(0);
     let mut disk = Vec::new();
     let mut used = 0;
     let mut refused = 0;
     for round in 0..60 {
         now = now + Span::millis(100);
-        if purses.charge(TEAM, 1_000, now).is_ok() {
-            purses.settle(1, TEAM, 1_000, 600);
+        if grants.charge(TEAM, 1_000, now).is_ok() {
+            grants.settle(1, TEAM, 1_000, 600);
             used += 600;
         } else {
             refused += usize::from(round > 5);
         }
-        renew(&mut allowances, &mut purses, now);
-        if let Some(marks) = purses.marks(now) {
-            purses.opened(1, &marks);
+        renew(&mut allowances, &mut grants, now);
+        if let Some(marks) = grants.marks(now) {
+            grants.opened(1, &marks);
             disk = marks;
         }
     }
@@ -313,7 +313,7 @@
     let lost = allowances.used(TEAM) - used;
     assert_eq!(refused, 0, "requests refused for want of an opened grant");
     assert!(lost < 25_000, "{lost} lost of {} held", before - used);
-    assert!(before - used > 60_000, "the purse holds seconds of demand");
+    assert!(before - used > 60_000, "the held holds seconds of demand");
 }
 
 /// Load pattern: one entry gets most of the callers while no entry reaches the
@@ -322,8 +322,8 @@
 fn a_busy_entry_borrows_in_a_cut() {
     let mut allowances = Allowances::default();
     allowances.set_total(TEAM, 10_000_000);
-    let mut busy = Purses::new(1, false);
-    let mut calm = Purses::new(2, false);
+    let mut busy = Grants::new(1, false);
+    let mut calm = Grants::new(2, false);
     let mut now = Time(0);
     let mut refused = 0;
     for round in 0..120 {
