--- a/crates/fleet/src/mesh.rs
+++ b/crates/fleet/src/mesh.rs
@@ -7,6 +7,7 @@
 use ledger::allowance::Demand;
 use ledger::allowance::Granted;
 use ledger::allowance::Lease;
+use ledger::allowance::Mark;
 use routing::call::Part;
 use routing::directory::Announcement;
 use routing::placement::Load;
@@ -94,8 +95,12 @@
     Draw(Lease, Vec<Demand>),
     /// Asks an entry to lend tokens of these teams.
     Lend(Vec<(String, u64)>),
-    /// Closes the lease of an earlier run, of which this was opened at most.
-    Close(u64, Option<Vec<(String, u64)>>),
+    /// Asks a replica to keep what an entry opens of its grants.
+    Mark(Mark),
+    /// Asks any replica of these that the receiver reaches to do so.
+    MarkAt(Vec<KeeperId>, Mark),
+    /// Asks a replica to take no further mark of a lease.
+    Fence(u64),
     /// A question to the leader, passed on by a process that may reach it.
     Forward(Box<Ask>),
 }
@@ -113,6 +118,12 @@
     Granted(Option<Vec<Granted>>),
     /// What is lent of each team's tokens.
     Lent(Vec<(String, u64)>),
+    /// Which replica keeps the mark.
+    Marked(KeeperId),
+    /// The lease takes no further mark.
+    Fenced,
+    /// What was opened under a lease, as far as the receiver's disk says.
+    Opened(Vec<(String, u64)>),
     /// The receiver doesn't lead; it knows this leader.
     Elsewhere(Option<SocketAddr>),
     /// The receiver can't answer now.
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -1,25 +1,23 @@
-//! Grants of teams' tokens: drawn, opened on the disk, given back.
+//! Grants of teams' tokens: drawn, borrowed, given back.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_io::Timer;
 use base::Span;
-use base::Time;
 use fleet::mesh::Answer;
 use fleet::mesh::Ask;
 use futures_lite::FutureExt as _;
 use ledger::Grants;
+use ledger::allowance::Lease;
 
-use crate::group::Group;
-use crate::group::Input;
-use crate::mesh::JOIN_EVERY;
 use crate::mesh::LEADER_WAIT;
 use crate::mesh::lead;
 use crate::mesh::near;
 use crate::mesh::peer;
-use crate::seals::Seal;
 use crate::state::Shared;
+use crate::witness;
 
 /// Time between two looks whether grants are needed.
 const DRAW_EVERY: Duration = Duration::from_millis(250);
@@ -27,15 +25,17 @@
 /// Least time between two draws.
 const DRAW_GAP: Duration = Duration::from_millis(15);
 
-/// Longest wait for a peer that lends.
-const LEND_WAIT: Span = Span::millis(300);
+/// Time between two looks whether grants must be borrowed.
+const BORROW_EVERY: Duration = Duration::from_millis(200);
 
-/// Longest wait for the disk before grants are used without it. Requests wait for
-/// opened grants no longer than this.
-const SEAL_WAIT: Duration = Duration::from_millis(250);
+/// Least time between two rounds of borrowing.
+const BORROW_GAP: Duration = Duration::from_millis(25);
 
-/// Time between two looks whether more must be opened.
-const SEAL_EVERY: Duration = Duration::from_millis(250);
+/// Peers asked in one round of borrowing.
+const LENDERS: usize = 3;
+
+/// Longest wait for a peer that lends: some round trips between failure domains.
+const LEND_WAIT: Span = Span::millis(120);
 
 /// Longest wait for the ledger to take grants back at a planned stop.
 const CLOSE_WAIT: Span = Span::millis(300);
@@ -45,40 +45,20 @@
     loop {
         let listener = shared.demand.listen();
         let now = shared.now();
-        let (terms, demands) = {
+        let (terms, demands, due) = {
             let mut state = shared.state();
-            (state.grants.terms(), state.grants.demands(now))
+            let wanted = witness::wanted(&shared, &state, now);
+            state.grants.propose(&wanted);
+            let demands = state.grants.demands(now);
+            let due = state.grants.proposed() || !demands.is_empty();
+            (state.grants.terms().clone(), demands, due)
         };
-        let lease = terms.id;
-        if !demands.is_empty() {
-            let ask = Ask::Draw(terms, demands);
-            match lead(&shared, &ask, LEADER_WAIT).await {
-                Answer::Granted(Some(granted)) => {
-                    let now = shared.now();
-                    let mut state = shared.state();
-                    state.grants.granted(lease, &granted, now);
-                    if !std::mem::replace(&mut state.ledger_answers, true) {
-                        log::info!("budget: event=ledger_regained lease={lease:x}");
-                    }
-                }
-                Answer::Granted(None) => {
-                    let fresh = fastrand::u64(1..);
-                    log::warn!("budget: event=lease_closed lease={lease:x} next={fresh:x}");
-                    shared.state().grants = Grants::new(fresh, shared.group.is_some());
-                }
-                _ => {
-                    let mut state = shared.state();
-                    if std::mem::replace(&mut state.ledger_answers, false) {
-                        log::warn!(
-                            "budget: event=ledger_lost lease={lease:x} leader={:?}",
-                            state.leader
-                        );
-                    }
-                }
-            }
-            if !shared.state().ledger_answers {
-                borrow(&shared, now).await;
-            }
+        // Without a witness nothing can be opened, and no process with a disk is
+        // known yet.
+        if due && !terms.witnesses.is_empty() {
+            let ask = Ask::Draw(terms.clone(), demands);
+            let answer = lead(&shared, &ask, LEADER_WAIT).await;
+            take(&shared, &terms, answer);
             shared.granted.notify(usize::MAX);
             Timer::after(DRAW_GAP).await;
         }
@@ -89,11 +69,44 @@
     }
 }
 
+/// Takes in the ledger's answer to a draw.
+fn take(shared: &Shared, terms: &Lease, answer: Answer) {
+    let now = shared.now();
+    let lease = terms.id;
+    let mut state = shared.state();
+    match answer {
+        Answer::Granted(Some(granted)) => {
+            state.grants.granted(terms, &granted, now);
+            if !std::mem::replace(&mut state.ledger_answers, true) {
+                log::info!("budget: event=ledger_regained lease={lease:x}");
+            }
+            drop(state);
+            // What was granted must be opened for the requests that wait for it.
+            shared.demand.notify(usize::MAX);
+        }
+        Answer::Granted(None) if state.grants.lease() == lease => {
+            let fresh = fastrand::u64(1..);
+            log::warn!("budget: event=lease_ended lease={lease:x} next={fresh:x}");
+            state.grants = Grants::new(fresh, shared.holder());
+        }
+        Answer::Granted(None) => {}
+        _ => {
+            if std::mem::replace(&mut state.ledger_answers, false) {
+                log::warn!(
+                    "budget: event=ledger_lost lease={lease:x} leader={:?}",
+                    state.leader
+                );
+            }
+        }
+    }
+}
+
 /// Gives all unused grants back before a planned stop.
 pub async fn close(shared: &Shared) {
     let (terms, demands) = {
         let mut state = shared.state();
-        (state.grants.terms(), state.grants.close())
+        let demands = state.grants.close();
+        (state.grants.terms().clone(), demands)
     };
     if demands.is_empty() {
         return;
@@ -111,96 +124,61 @@
         let loan = state.grants.lend(&team, amount);
         (team, loan)
     });
-    Answer::Lent(lent.filter(|(_, loan)| *loan > 0).collect())
-}
-
-/// Borrows from a peer while the ledger doesn't answer.
-async fn borrow(shared: &Shared, now: Time) {
-    let wishes = shared.state().grants.wishes(now);
-    let Some(address) = fastrand::choice(near(shared)) else {
-        return;
-    };
-    if wishes.is_empty() {
-        return;
-    }
-    let teams = wishes.len();
-    let lease = shared.state().grants.lease();
-    // What is lent in an answer that is lost stays spent.
-    if let Some(Answer::Lent(lent)) = peer(shared, address, Ask::Lend(wishes), LEND_WAIT).await {
-        let mut state = shared.state();
-        let sum: u64 = lent.iter().map(|(_, loan)| loan).sum();
-        if state.grants.lease() == lease {
-            for (team, loan) in &lent {
-                state.grants.borrow(team, *loan);
-            }
-        }
-        log::info!("budget: event=borrowed from={address} teams={teams} tokens={sum}");
-    }
+    let lent = lent.filter(|(_, loan)| *loan > 0).collect();
+    drop(state);
+    // More is opened for the next time that it's asked for.
+    shared.demand.notify(usize::MAX);
+    Answer::Lent(lent)
 }
 
-/// Opens grants on the disk as requests need them, on an instance that has one.
-pub async fn seal(shared: Arc<Shared>) {
-    let Some(group) = &shared.group else {
-        return;
-    };
+/// Borrows from peers while the ledger doesn't answer.
+pub async fn borrow(shared: Arc<Shared>) {
     loop {
         let listener = shared.demand.listen();
-        let now = shared.now();
-        let (lease, marks) = {
-            let mut state = shared.state();
-            (state.grants.lease(), state.grants.marks(now))
-        };
-        if let Some(opened) = marks {
-            let (reply, answer) = async_channel::bounded(1);
-            let seal = Seal { lease, opened };
-            group.send(Input::Seal(seal.clone(), reply));
-            let done = async { answer.recv().await.is_ok() };
-            let late = async {
-                Timer::after(SEAL_WAIT).await;
-                false
-            };
-            if done.or(late).await {
-                shared.state().grants.opened(lease, &seal.opened);
-                shared.granted.notify(usize::MAX);
-            } else {
-                unseal(&shared, lease).await;
+        if !shared.state().ledger_answers {
+            let mut lenders = near(&shared);
+            fastrand::shuffle(&mut lenders);
+            for address in lenders.into_iter().take(LENDERS) {
+                if !borrow_from(&shared, address).await {
+                    break;
+                }
             }
+            Timer::after(BORROW_GAP).await;
         }
         let tick = async {
-            Timer::after(SEAL_EVERY).await;
+            Timer::after(BORROW_EVERY).await;
         };
         listener.or(tick).await;
     }
 }
 
-/// Goes on without the disk under another lease: nothing will vouch for its grants
-/// after a crash, and requests don't wait for the disk.
-async fn unseal(shared: &Shared, lease: u64) {
-    let fresh = fastrand::u64(1..);
-    let (terms, demands) = {
+/// Borrows from one peer; returns false where nothing is needed.
+async fn borrow_from(shared: &Shared, address: SocketAddr) -> bool {
+    let now = shared.now();
+    let (lease, wishes) = {
         let mut state = shared.state();
-        if state.grants.lease() != lease {
-            return;
-        }
-        let terms = state.grants.terms();
-        let demands = state.grants.close();
-        state.grants = Grants::new(fresh, false);
-        (terms, demands)
+        (state.grants.lease(), state.grants.wishes(now))
     };
-    log::warn!("budget: event=unsealed lease={lease:x} next={fresh:x} reason=\"the disk is slow\"");
-    shared.demand.notify(usize::MAX);
-    // The old lease is buried where this doesn't arrive.
-    let _ = lead(shared, &Ask::Draw(terms, demands), LEADER_WAIT).await;
-}
-
-/// Gives back what an earlier run on this disk had not opened of its grants.
-pub async fn recover(shared: Arc<Shared>) {
-    let Some(seal) = shared.group.as_ref().and_then(Group::seal).cloned() else {
-        return;
+    if wishes.is_empty() {
+        return false;
+    }
+    let teams = wishes.len();
+    // What is lent in an answer that is lost stays spent.
+    let Some(Answer::Lent(lent)) = peer(shared, address, Ask::Lend(wishes), LEND_WAIT).await else {
+        return true;
     };
-    let ask = Ask::Close(seal.lease, Some(seal.opened));
-    while !matches!(lead(&shared, &ask, LEADER_WAIT).await, Answer::Done) {
-        Timer::after(JOIN_EVERY).await;
+    let sum: u64 = lent.iter().map(|(_, loan)| loan).sum();
+    if sum > 0 {
+        let mut state = shared.state();
+        if state.grants.lease() == lease {
+            for (team, loan) in &lent {
+                state.grants.borrow(team, *loan);
+            }
+        }
+        drop(state);
+        shared.granted.notify(usize::MAX);
+        shared.demand.notify(usize::MAX);
+        log::info!("budget: event=borrowed from={address} teams={teams} tokens={sum}");
     }
-    log::info!("budget: event=recovered lease={:x}", seal.lease);
+    true
 }
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -28,7 +28,9 @@
 use durable::LogDisk;
 use fleet::mesh::Answer;
 use ledger::allowance::Demand;
+use ledger::allowance::Ended;
 use ledger::allowance::Lease;
+use ledger::allowance::Mark;
 use store::Folder;
 use store::Options;
 use thiserror::Error;
@@ -36,7 +38,6 @@
 use crate::record::Command;
 use crate::record::Outcome;
 use crate::record::Record;
-use crate::seals::Seal;
 use crate::seals::Seals;
 
 /// Time between two ticks. An election then takes half a second to a second, which
@@ -77,12 +78,15 @@
     Read(Reply),
     /// Demands of an entry under its lease.
     Draw(Lease, Vec<Demand>, Reply),
-    /// Makes durable what this entry opens of its grants.
-    Seal(Seal, Reply),
-    /// Closes the lease of a dead entry.
+    /// Makes durable what an entry opens of its grants.
+    Mark(Mark, Reply),
+    /// Takes no further mark of a lease, and tells what was opened.
+    Fence(u64, Reply),
+    /// Closes an ended lease.
     Close(u64, Option<Vec<(String, u64)>>, Reply),
-    /// Closes leases that were silent for long; those named belong to live entries.
-    Bury(Vec<u64>),
+    /// Asks the leader which leases should be closed. Where the leases of all entries
+    /// that are heard are named, silent ones that aren't among them are too.
+    Ended(Option<Vec<u64>>, Sender<Vec<Ended>>),
     /// Adds a learner, and removes a member that it replaces.
     Join(Joiner, Reply),
     /// Hands leadership over and stops.
@@ -149,7 +153,6 @@
     inputs: mpsc::Sender<Input>,
     id: KeeperId,
     disk: u64,
-    seal: Option<Seal>,
 }
 
 /// Returns the number that belongs to a disk.
@@ -174,7 +177,6 @@
             inputs,
             id: opened.replica.id(),
             disk: opened.identity,
-            seal: opened.seal.clone(),
         };
         thread::Builder::new()
             .name("group".to_owned())
@@ -195,12 +197,6 @@
         self.disk
     }
 
-    /// Returns what an earlier run had opened of its grants.
-    #[must_use]
-    pub fn seal(&self) -> Option<&Seal> {
-        self.seal.as_ref()
-    }
-
     /// Hands an input to the thread.
     pub fn send(&self, input: Input) {
         if self.inputs.send(input).is_err() {
@@ -214,7 +210,6 @@
     record: Record,
     disk: LogDisk,
     seals: Seals,
-    seal: Option<Seal>,
     identity: u64,
     _folder: Folder,
 }
@@ -230,7 +225,7 @@
         };
         let path: &Path = &start.folder.join("log");
         let (disk, found) = LogDisk::open(path, Members::default(), options)?;
-        let (seals, seal) = Seals::open(&start.folder.join("seals"), options)?;
+        let seals = Seals::open(&start.folder.join("seals"), options)?;
         let data = &found.log.snapshot().data;
         let record = if data.is_empty() {
             Record::default()
@@ -250,7 +245,6 @@
             record,
             disk,
             seals,
-            seal,
             identity,
             _folder: folder,
         })
@@ -270,7 +264,8 @@
     pending: BTreeMap<u64, Pending>,
     reads: BTreeMap<u64, Reply>,
     ready: Vec<(Reply, Answer)>,
-    seals: Vec<(Seal, Reply)>,
+    marks: Vec<(Mark, Reply)>,
+    fences: Vec<(u64, Reply)>,
     ticket: u64,
     leader: Option<KeeperId>,
     member: bool,
@@ -321,7 +316,8 @@
             pending: BTreeMap::new(),
             reads: BTreeMap::new(),
             ready: Vec::new(),
-            seals: Vec::new(),
+            marks: Vec::new(),
+            fences: Vec::new(),
             ticket: 0,
             leader: None,
             member: false,
@@ -420,11 +416,12 @@
                 let effects = self.open.replica.read(self.ticket);
                 self.gather(effects);
             }
-            Input::Seal(seal, reply) => self.seals.push((seal, reply)),
+            Input::Mark(mark, reply) => self.marks.push((mark, reply)),
+            Input::Fence(lease, reply) => self.fences.push((lease, reply)),
             Input::Close(lease, opened, reply) => {
                 self.propose(&Command::Close { lease, opened }, reply);
             }
-            Input::Bury(live) => self.bury(&live),
+            Input::Ended(live, reply) => self.ended(live.as_deref(), &reply),
             Input::Join(joiner, reply) => self.join(&joiner, reply),
             Input::Stop(done) => {
                 let effects = self.open.replica.hand_over();
@@ -434,21 +431,35 @@
         }
     }
 
-    /// Closes silent leases of entries that nobody hears.
-    fn bury(&mut self, live: &[u64]) {
+    /// Tells which leases should be closed by their witnesses' marks. Those with a
+    /// witness whose disk is lost are closed at once: all that they hold counts as
+    /// spent.
+    fn ended(&mut self, live: Option<&[u64]>, reply: &Sender<Vec<Ended>>) {
         if self.open.replica.role() != Role::Leader {
             return;
         }
         let now = self.base + millis(self.began.elapsed());
-        let before = now.saturating_sub(millis(SILENT));
-        let silent = self.open.record.allowances.silent(before);
-        let dead: Vec<u64> = silent.filter(|lease| !live.contains(lease)).collect();
-        for lease in dead {
-            log::info!("budget: event=lease_buried lease={lease:x}");
-            let (reply, _) = async_channel::bounded(1);
-            let opened = None;
-            self.propose(&Command::Close { lease, opened }, reply);
-        }
+        let before = live.map_or(0, |_| now.saturating_sub(millis(SILENT)));
+        let allowances = &self.open.record.allowances;
+        let mut ended = allowances.ended(before, live.unwrap_or_default());
+        let members = self.open.replica.members().clone();
+        let lost = |id: &KeeperId| members.disk(*id).is_none();
+        ended.retain(|ended| {
+            let known = !ended.witnesses.is_empty() && !ended.witnesses.iter().any(lost);
+            if !known {
+                let lease = ended.lease;
+                log::warn!(
+                    "budget: event=lease_closed lease={lease:x} outcome=spent witnesses={:?} reason=\"a witness's disk is lost\"",
+                    ended.witnesses
+                );
+                let (reply, _) = async_channel::bounded(1);
+                let opened = None;
+                self.propose(&Command::Close { lease, opened }, reply);
+            }
+            known
+        });
+        // Whoever asked may have gone.
+        let _ = reply.try_send(ended);
     }
 
     fn form(&mut self) {
@@ -515,10 +526,7 @@
 
     /// Makes writes durable, applies what is committed and lets answers leave.
     fn flush(&mut self) -> Result<(), GroupError> {
-        for (seal, reply) in self.seals.drain(..) {
-            self.open.seals.write(&seal)?;
-            self.ready.push((reply, Answer::Done));
-        }
+        self.seal()?;
         while !self.effects.is_empty() {
             let effects = std::mem::take(&mut self.effects);
             if !effects.writes.is_empty() {
@@ -566,6 +574,25 @@
         Ok(())
     }
 
+    /// Makes marks and fences durable together.
+    fn seal(&mut self) -> Result<(), GroupError> {
+        if self.marks.is_empty() && self.fences.is_empty() {
+            return Ok(());
+        }
+        for (mark, reply) in self.marks.drain(..) {
+            let taken = self.open.seals.open_more(&mark)?;
+            let answer = if taken { Answer::Done } else { Answer::Fenced };
+            self.ready.push((reply, answer));
+        }
+        for (lease, reply) in self.fences.drain(..) {
+            let opened = self.open.seals.fence(lease)?;
+            self.ready.push((reply, Answer::Opened(opened)));
+        }
+        let allowances = &self.open.record.allowances;
+        self.open.seals.sync(|lease| allowances.is_closed(lease))?;
+        Ok(())
+    }
+
     fn settle(&mut self, index: u64, term: u64, outcome: Outcome) {
         let Some(pending) = self.pending.remove(&index) else {
             return;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,8 +12,10 @@
 //! - [`process`]: a whole process.
 //! - [`record`]: the replicated state.
 //! - [`relay`]: one request's way.
-//! - [`seals`]: what an entry with a disk has opened of its grants.
+//! - [`seals`]: what entries have opened of their grants, on a witness's disk.
+//! - [`settle`]: leases that have ended, closed by their witnesses.
 //! - [`state`]: what a process knows.
+//! - [`witness`]: marks of what entries open of their grants.
 
 pub mod budget;
 pub mod conn;
@@ -28,6 +30,8 @@
 pub mod record;
 pub mod relay;
 pub mod seals;
+pub mod settle;
 pub mod state;
+pub mod witness;
 
 pub use crate::process::Gateway;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -31,6 +31,7 @@
 use crate::state::PEER_GONE;
 use crate::state::Peer;
 use crate::state::Shared;
+use crate::witness;
 
 /// Time between two updates to a peer.
 const EVERY: Duration = Duration::from_millis(200);
@@ -59,7 +60,7 @@
 const FORWARD_PATIENCE: Span = Span::millis(400);
 
 /// Silence up to which a peer is asked to pass a question on.
-const NEAR: Span = Span::millis(700);
+pub const NEAR: Span = Span::millis(700);
 
 /// Pause before the leader is asked once more.
 const LEADER_PAUSE: Duration = Duration::from_millis(40);
@@ -75,7 +76,7 @@
 const FORGET: Span = Span::millis(15_000);
 
 /// Silence after which a replica may be replaced by one that joins.
-const REPLACE: Span = Span::millis(6_000);
+pub const REPLACE: Span = Span::millis(6_000);
 
 /// Time between two requests to join the group.
 pub const JOIN_EVERY: Duration = Duration::from_millis(300);
@@ -116,6 +117,9 @@
             Answer::Config(version, state.body.to_vec())
         }
         Ask::Lend(wishes) => budget::lend(&shared, wishes),
+        Ask::Mark(mark) => witness::keep(&shared, mark).await,
+        Ask::MarkAt(replicas, mark) => witness::pass_on(&shared, &replicas, mark).await,
+        Ask::Fence(lease) => witness::fence(&shared, lease).await,
         Ask::Forward(ask) => match *ask {
             // Passed on once: the asker can't reach the leader, this process may.
             Ask::Submit(..) | Ask::Read | Ask::Draw(..) => {
@@ -123,7 +127,7 @@
             }
             _ => Answer::Unsure,
         },
-        Ask::Join(..) | Ask::Submit(..) | Ask::Read | Ask::Draw(..) | Ask::Close(..) => {
+        Ask::Join(..) | Ask::Submit(..) | Ask::Read | Ask::Draw(..) => {
             let leader = shared.state().leader;
             match &shared.group {
                 Some(group) if leader == Some(shared.own.address) => {
@@ -149,11 +153,15 @@
         }
         Ask::Read => Input::Read(reply),
         Ask::Draw(lease, demands) => Input::Draw(lease, demands, reply),
-        Ask::Close(lease, opened) => Input::Close(lease, opened, reply),
         Ask::Join(id, disk, _) => Input::Join(joiner(shared, id, disk), reply),
-        Ask::Update(_) | Ask::Replica(_) | Ask::Known | Ask::Lend(_) | Ask::Forward(_) => {
-            return Answer::Unsure;
-        }
+        Ask::Update(_)
+        | Ask::Replica(_)
+        | Ask::Known
+        | Ask::Lend(_)
+        | Ask::Mark(_)
+        | Ask::MarkAt(..)
+        | Ask::Fence(_)
+        | Ask::Forward(_) => return Answer::Unsure,
     };
     group.send(input);
     let late = async {
@@ -257,7 +265,6 @@
     }
     let mut state = shared.state();
     let state = &mut *state;
-    let mut bury = None;
     let known = state.peers.get(&member.address);
     let replaced = known.is_none_or(|peer| peer.member.run != member.run);
     if replaced && !direct && known.is_some_and(|peer| peer.heard.until(now) < PEER_GONE) {
@@ -275,10 +282,6 @@
             {
                 state.lost.push(keeper);
             }
-            if !same_disk && old.lease != 0 {
-                // Its run has ended and nothing can vouch for its grants.
-                bury = Some(old.lease);
-            }
         }
         log::info!(
             "mesh: event=met peer={} domain={} keeper={:?} direct={direct}",
@@ -301,12 +304,6 @@
             },
         );
     }
-    if let (Some(lease), Some(group)) = (bury, &shared.group)
-        && state.leader == Some(shared.own.address)
-    {
-        let (reply, _) = async_channel::bounded(1);
-        group.send(Input::Close(lease, None, reply));
-    }
     if direct && let Some(peer) = state.peers.get_mut(&member.address) {
         peer.heard = now;
         peer.direct = Some(now);
@@ -543,14 +540,6 @@
         state.peers.remove(&address);
         log::warn!("mesh: event=forgot peer={address}");
     }
-    if let Some(group) = &shared.group
-        && state.leader == Some(shared.own.address)
-        && Span(now.0) > REPLACE
-    {
-        let mut live: Vec<u64> = state.peers.values().map(|peer| peer.lease).collect();
-        live.push(state.grants.lease());
-        group.send(Input::Bury(live));
-    }
     let confirmed = state.confirmed || Span(now.0) > CONFIRM;
     if confirmed && !state.confirmed && state.table.is_some() {
         log::warn!("config: event=unconfirmed outcome=serving reason=\"no word from the group\"");
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -30,7 +30,9 @@
 use crate::group::Output;
 use crate::group::Start;
 use crate::mesh;
+use crate::settle;
 use crate::state::Shared;
+use crate::witness;
 
 /// Part of the disk that the journal may take; a checkpoint needs the rest.
 const QUOTA_PART: u64 = 2;
@@ -166,9 +168,10 @@
         pool.spawn(mesh::join(Arc::clone(&self.shared)));
         pool.spawn(mesh::confirm(Arc::clone(&self.shared)));
         pool.spawn(budget::draw(Arc::clone(&self.shared)));
-        pool.spawn(budget::seal(Arc::clone(&self.shared)));
+        pool.spawn(budget::borrow(Arc::clone(&self.shared)));
+        pool.spawn(witness::mark(Arc::clone(&self.shared)));
         pool.spawn(mesh::report_memory());
-        pool.spawn(budget::recover(Arc::clone(&self.shared)));
+        pool.spawn(settle::run(Arc::clone(&self.shared)));
         pool.spawn(watch_settings(Arc::clone(&self.shared)));
     }
 
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -80,7 +80,7 @@
                 Outcome::Closed
             }
             Command::Draw { lease, demands } => {
-                Outcome::Granted(self.allowances.draw(lease, &demands, at))
+                Outcome::Granted(self.allowances.draw(&lease, &demands, at))
             }
         }
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -11,7 +11,6 @@
 use std::io;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 
 use async_io::Timer;
 use base::Span;
@@ -44,7 +43,11 @@
 
 /// Longest wait for a grant: a commit takes some ten milliseconds, an election about
 /// a second.
-const GRANT_WAIT: Duration = Duration::from_millis(350);
+const GRANT_WAIT: Span = Span::millis(350);
+
+/// Longest wait for a loan where the ledger doesn't answer: two peers are asked, one
+/// after the other.
+const BORROW_WAIT: Span = Span::millis(80);
 
 /// Engines that are tried for one request before it's refused, where none ran it.
 const MOST_TRIES: usize = 3;
@@ -263,8 +266,8 @@
     /// Charges the request at its most; waits for a grant where the grants are short.
     async fn take_charge(&self, team: &str) -> Result<Charge<'a>, Refuse> {
         let most = self.request.call.most();
-        let give_up =
-            self.shared.now() + Span::millis(u64::try_from(GRANT_WAIT.as_millis()).unwrap_or(0));
+        let began = self.shared.now();
+        let mut give_up = began + GRANT_WAIT;
         loop {
             let listener = self.shared.granted.listen();
             let now = self.shared.now();
@@ -287,16 +290,13 @@
                 }
                 Err(Short::Exhausted) => return Err(Refuse::Budget),
                 Err(Short::Held) => return Err(Refuse::Grant),
-                Err(Short::Ungranted) if hopeless => {
-                    self.shared.demand.notify(2);
-                    return Err(Refuse::Grant);
-                }
+                Err(Short::Ungranted) if hopeless => give_up = give_up.min(began + BORROW_WAIT),
                 Err(Short::Ungranted | Short::Sealed) => {}
             }
             if now >= give_up || now >= self.deadline {
                 return Err(Refuse::Grant);
             }
-            self.shared.demand.notify(2);
+            self.shared.demand.notify(usize::MAX);
             let late = async {
                 Timer::after(now.until(give_up).into()).await;
             };
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -95,6 +95,10 @@
     pub links: Links,
     /// Grants of the teams.
     pub grants: Grants,
+    /// The replica that took the last mark.
+    pub witness: Option<KeeperId>,
+    /// When no witness took a mark.
+    pub disk_slow: Option<Time>,
     /// Whether the ledger answered the last time it was asked.
     pub ledger_answers: bool,
     /// The budget for repeated sends.
@@ -156,10 +160,17 @@
     hasher.hash_one((&said.id, said.born, said.address))
 }
 
+/// Returns the number that stands for a process's place: a process that starts again
+/// there holds under the same one.
+fn holder(own: &Member) -> u64 {
+    use std::hash::BuildHasher as _;
+    base::hash::hasher().hash_one(own.address)
+}
+
 impl State {
     /// Returns the state of a process that has just started.
     #[must_use]
-    pub fn new(settings: &NodeSettings, sealed: bool) -> Self {
+    pub fn new(settings: &NodeSettings, holder: u64) -> Self {
         let bounds = &settings.bounds;
         let window = Span::millis(whole_ms(bounds.repeat_window_s));
         Self {
@@ -169,7 +180,9 @@
             directory: Directory::default(),
             places: Map::default(),
             links: Links::default(),
-            grants: Grants::new(fastrand::u64(1..), sealed),
+            grants: Grants::new(fastrand::u64(1..), holder),
+            witness: None,
+            disk_slow: None,
             ledger_answers: true,
             repeats: Repeats::new(Bound {
                 ratio: bounds.repeat_ratio,
@@ -257,7 +270,7 @@
         group: Option<Group>,
         clock: Clock,
     ) -> Self {
-        let state = Mutex::new(State::new(&settings, group.is_some()));
+        let state = Mutex::new(State::new(&settings, holder(&own)));
         Self {
             settings,
             clock,
@@ -277,6 +290,12 @@
         }
     }
 
+    /// Returns the number that this process's leases on tokens are held under.
+    #[must_use]
+    pub fn holder(&self) -> u64 {
+        holder(&self.own)
+    }
+
     /// Locks the state.
     pub fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/ledger/src/allowance.rs
+++ b/crates/ledger/src/allowance.rs
@@ -1,9 +1,14 @@
-//! One total for each team, handed out to entries in small grants.
+//! One total for each team, handed out to entries in grants.
 //!
 //! The replicated state behind entries whose memory doesn't survive them. An
 //! entry's lease names all that was granted and all that was given back as sums
 //! that only rise: a message that is lost, late or sent twice changes nothing.
-//! What a dead entry can't prove unspent counts as spent.
+//!
+//! An entry charges no more than it has opened, and what it opens is on the disk of
+//! one of the lease's witnesses before. When its lease has ended, every witness is
+//! asked and takes no further mark; the highest mark is what the entry can have
+//! spent, and the rest is free again. Where a witness's disk is lost, all that was
+//! granted counts as spent.
 //!
 //! ```text
 //! total = free + closed + sum of (granted - returned) over leases
@@ -11,15 +16,13 @@
 
 use std::collections::BTreeMap;
 
+use base::KeeperId;
 use serde::Deserialize;
 use serde::Serialize;
 
-/// Part of what is unspent that all entries may hold ahead, unless a request needs
-/// more: what dies with entries then never takes more than this part of the rest.
-const HELD_PART: u64 = 4;
-
-/// Part of what a sealed entry holds that a crash can cost.
-const SEALED_PART: u64 = 4;
+/// Part of what is unspent that leases share by demand where it is scarce; the rest
+/// is for requests that are short at entries that have just started.
+const SHARED_PART: (u64, u64) = (9, 10);
 
 /// Log time after which a silent lease is closed, in milliseconds. Longer than any
 /// partition that an entry should survive with its grants.
@@ -32,24 +35,22 @@
     returned: u64,
     /// What the entry has said to be spent; the rest may be too.
     spent: u64,
-    /// Whether the entry's disk bounds what a crash can cost.
-    sealed: bool,
+    /// What the entry has said to be charged: spent, or kept for running requests.
+    charged: u64,
+    /// What the entry would like to hold.
+    ahead: u64,
 }
 
 impl Grant {
-    /// Returns what a crash of the entry can cost.
-    fn risk(&self) -> u64 {
-        if self.sealed {
-            self.held() / SEALED_PART
-        } else {
-            self.held()
-        }
-    }
-
     /// Returns what the entry may still spend, as far as the ledger knows.
     fn held(&self) -> u64 {
         self.granted - self.returned - self.spent
     }
+
+    /// Returns what the entry may still charge, as far as the ledger knows.
+    fn unused(&self) -> u64 {
+        (self.granted - self.returned).saturating_sub(self.charged)
+    }
 }
 
 /// A team's account.
@@ -69,15 +70,46 @@
     fn free(&self) -> u64 {
         self.total.saturating_sub(self.used())
     }
+
+    fn held(&self) -> u64 {
+        self.grants.values().map(Grant::held).sum()
+    }
+
+    /// Returns what a lease that would like to hold `ahead` should hold: all of it,
+    /// or its part of what is unspent where that is less than all leases want.
+    fn fair(&self, ahead: u64) -> u64 {
+        let wanted: u128 = self.grants.values().map(|g| u128::from(g.ahead)).sum();
+        let (part, of) = SHARED_PART;
+        let unused: u64 = self.grants.values().map(Grant::unused).sum();
+        let rest = u128::from(self.free() + unused) * u128::from(part) / u128::from(of);
+        if wanted <= rest {
+            return ahead;
+        }
+        let share = rest * u128::from(ahead) / wanted;
+        u64::try_from(share).unwrap_or(u64::MAX)
+    }
 }
 
 /// What an entry draws under.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Lease {
     /// Drawn by the entry, never twice.
     pub id: u64,
-    /// Whether the entry's disk bounds what a crash can cost.
-    pub sealed: bool,
+    /// The process's place; a new lease of the same holder ends the earlier one.
+    pub holder: u64,
+    /// Counts the changes of the witnesses.
+    pub version: u32,
+    /// The replicas at which the entry may put down what it opens.
+    pub witnesses: Vec<KeeperId>,
+}
+
+/// What an entry has opened of its grants, as sums that only rise.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Mark {
+    /// The lease.
+    pub lease: u64,
+    /// Tokens opened of each team's grants.
+    pub opened: Vec<(String, u64)>,
 }
 
 /// An entry's demand for one team.
@@ -85,14 +117,16 @@
 pub struct Demand {
     /// The team.
     pub team: String,
-    /// The sum of grants that the entry would like.
-    pub want: u64,
+    /// What the entry would like to hold.
+    pub ahead: u64,
     /// The sum of grants without which a request is refused.
     pub need: u64,
     /// The sum of what the entry has given back.
     pub returned: u64,
     /// The sum of what ended requests have used.
     pub spent: u64,
+    /// What is charged: spent, or kept for running requests.
+    pub charged: u64,
 }
 
 /// The answer to one demand.
@@ -102,6 +136,8 @@
     pub team: String,
     /// The sum of grants under the lease.
     pub granted: u64,
+    /// What the entry should hold of what is unspent.
+    pub fair: u64,
     /// Tokens that nobody holds.
     pub free: u64,
     /// Tokens that nobody has spent, as far as the ledger knows, but for what the
@@ -109,13 +145,33 @@
     pub rest: u64,
 }
 
+/// A lease that isn't closed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Open {
+    holder: u64,
+    version: u32,
+    witnesses: Vec<KeeperId>,
+    /// When it was last used, in log time.
+    used: u64,
+    /// Whether its holder has another lease now.
+    ended: bool,
+}
+
+/// A lease that waits to be closed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ended {
+    /// Its number.
+    pub lease: u64,
+    /// The replicas whose marks bound what was spent.
+    pub witnesses: Vec<KeeperId>,
+}
+
 /// All teams' accounts.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Allowances {
     accounts: BTreeMap<String, Account>,
-    /// When each lease was last used, in log time.
-    leases: BTreeMap<u64, u64>,
-    /// Leases that were closed; they're never granted anything again.
+    leases: BTreeMap<u64, Open>,
+    /// Leases that were closed, and when; they're never granted anything again.
     closed: BTreeMap<u64, u64>,
 }
 
@@ -128,22 +184,59 @@
 
     /// Carries out an entry's demands under `lease` at log time `at`.
     ///
-    /// Returns `None` where the lease was closed: the entry must begin another.
-    pub fn draw(&mut self, lease: Lease, demands: &[Demand], at: u64) -> Option<Vec<Granted>> {
-        if self.closed.contains_key(&lease.id) {
+    /// Returns `None` where the lease has ended: the entry must begin another.
+    pub fn draw(&mut self, lease: &Lease, demands: &[Demand], at: u64) -> Option<Vec<Granted>> {
+        if self.closed.contains_key(&lease.id) || !self.renew(lease, at) {
             return None;
         }
-        self.leases.insert(lease.id, at);
         let granted = demands
             .iter()
-            .map(|demand| self.grant(lease, demand))
+            .map(|demand| self.grant(lease.id, demand))
             .collect();
         self.expire(at);
         Some(granted)
     }
 
-    /// Closes the lease of a dead entry. `opened` bounds what it can have spent of
-    /// each team's grants; without it, all of them count as spent.
+    /// Notes that the lease is used; returns whether it's open.
+    fn renew(&mut self, lease: &Lease, at: u64) -> bool {
+        if let Some(known) = self.leases.get_mut(&lease.id) {
+            if lease.version > known.version && !known.ended {
+                known.version = lease.version;
+                known.witnesses.clone_from(&lease.witnesses);
+            }
+            known.used = at;
+            return !known.ended;
+        }
+        let earlier = |(&id, open): (&u64, &Open)| (open.holder == lease.holder).then_some(id);
+        let earlier: Vec<u64> = self.leases.iter().filter_map(earlier).collect();
+        for id in earlier {
+            self.end(id);
+        }
+        let open = Open {
+            holder: lease.holder,
+            version: lease.version,
+            witnesses: lease.witnesses.clone(),
+            used: at,
+            ended: false,
+        };
+        self.leases.insert(lease.id, open);
+        true
+    }
+
+    /// Ends a lease: it's granted nothing more and wants nothing.
+    fn end(&mut self, lease: u64) {
+        if let Some(open) = self.leases.get_mut(&lease) {
+            open.ended = true;
+        }
+        for account in self.accounts.values_mut() {
+            if let Some(grant) = account.grants.get_mut(&lease) {
+                grant.ahead = 0;
+            }
+        }
+    }
+
+    /// Closes a lease. `opened` bounds what its entry can have spent of each team's
+    /// grants; without it, all of them count as spent.
     pub fn close(&mut self, lease: u64, opened: Option<&[(String, u64)]>, at: u64) {
         if self.leases.remove(&lease).is_none() {
             return;
@@ -162,49 +255,57 @@
         }
     }
 
-    /// Returns the open leases that were last used before `at`.
-    pub fn silent(&self, at: u64) -> impl Iterator<Item = u64> + '_ {
-        let before = self.leases.iter().filter(move |(_, used)| **used < at);
-        before.map(|(&lease, _)| lease)
+    /// Returns the leases to close: those that have ended, and those last used before
+    /// `at` that `live` doesn't name.
+    #[must_use]
+    pub fn ended(&self, at: u64, live: &[u64]) -> Vec<Ended> {
+        let over =
+            |(lease, open): &(&u64, &Open)| open.ended || (open.used < at && !live.contains(lease));
+        let found = self.leases.iter().filter(over);
+        found
+            .map(|(&lease, open)| Ended {
+                lease,
+                witnesses: open.witnesses.clone(),
+            })
+            .collect()
     }
 
-    fn grant(&mut self, lease: Lease, demand: &Demand) -> Granted {
+    /// Returns whether `lease` is closed.
+    #[must_use]
+    pub fn is_closed(&self, lease: u64) -> bool {
+        self.closed.contains_key(&lease)
+    }
+
+    fn grant(&mut self, lease: u64, demand: &Demand) -> Granted {
         let account = self.accounts.entry(demand.team.clone()).or_default();
-        let grant = account.grants.entry(lease.id).or_default();
-        grant.sealed = lease.sealed;
+        let grant = account.grants.entry(lease).or_default();
         // An entry can't give back more than it was granted.
         grant.returned = grant.returned.max(demand.returned.min(grant.granted));
-        let rest = grant.granted - grant.returned;
-        grant.spent = grant.spent.max(demand.spent).min(rest);
+        let most = grant.granted - grant.returned;
+        grant.spent = grant.spent.max(demand.spent).min(most);
+        grant.charged = demand.charged;
+        grant.ahead = demand.ahead;
         let granted = grant.granted;
+        let (own, unused) = (grant.held(), grant.unused());
+        let fair = account.fair(demand.ahead);
         let free = account.free();
-        let held: u64 = account.grants.values().map(Grant::held).sum();
         let need = demand.need.saturating_sub(granted);
-        let want = demand.want.max(demand.need).saturating_sub(granted);
-        let risk: u64 = account.grants.values().map(Grant::risk).sum();
-        let room = ((free + held) / HELD_PART).saturating_sub(risk);
-        let room = if lease.sealed {
-            room * SEALED_PART
-        } else {
-            room
-        };
-        let more = want.min(room.max(need)).min(free);
-        let mut own = 0;
-        if let Some(grant) = account.grants.get_mut(&lease.id) {
-            own = grant.held();
+        let more = fair.saturating_sub(unused).max(need).min(free);
+        if let Some(grant) = account.grants.get_mut(&lease) {
             grant.granted += more;
         }
         Granted {
             team: demand.team.clone(),
             granted: granted + more,
+            fair,
             free: free - more,
-            rest: free - more + held - own,
+            rest: free - more + account.held() - own - more,
         }
     }
 
     /// Closes leases that have been silent for long: what they hold is spent.
     fn expire(&mut self, at: u64) {
-        let silent = |&(_, &used): &(&u64, &u64)| used + LEASE_MS < at;
+        let silent = |(_, open): &(&u64, &Open)| open.used + LEASE_MS < at;
         let over: Vec<u64> = self.leases.iter().filter(silent).map(|(&l, _)| l).collect();
         for lease in over {
             self.close(lease, None, at);
--- a/crates/ledger/src/grants.rs
+++ b/crates/ledger/src/grants.rs
@@ -1,9 +1,11 @@
 //! An entry's grants for each team and what it charges against them.
 //!
 //! A request is charged at its most before it's sent and given back what it didn't
-//! use when it has ended. Grants follow demand: an entry asks for what the next
-//! moments need and gives back what stays unused.
+//! use when it has ended. Grants follow demand: an entry holds what the next seconds
+//! need, so that it goes on while it can't reach the ledger, and opens what the next
+//! moments need, which is all that its death costs.
 
+use base::KeeperId;
 use base::Map;
 use base::Span;
 use base::Time;
@@ -11,19 +13,19 @@
 use crate::allowance::Demand;
 use crate::allowance::Granted;
 use crate::allowance::Lease;
+use crate::allowance::Mark;
 
 /// Demand that an entry holds ahead: an entry that is cut off from the ledger goes on
-/// for this long. Cuts of single machines last up to nine seconds; what a dead entry
-/// holds is lost to its team, so more isn't held.
-const AHEAD: Span = Span::millis(9_000);
+/// for this long. Cuts of single machines last up to nine seconds.
+const AHEAD: Span = Span::millis(10_000);
+
+/// Demand that is opened ahead: what a death costs. A mark reaches a disk in some
+/// milliseconds, and another disk within a third of a second where some don't answer.
+const OPEN: Span = Span::millis(500);
 
 /// Window of the demand's average.
 const WINDOW: Span = Span::millis(4_000);
 
-/// Part of what a sealed entry holds ahead that is opened: what a crash costs. A
-/// stalled disk is noticed well within it.
-const OPEN_PART: u64 = 5;
-
 /// Part of what an entry holds ahead that it asks another entry to lend at once.
 const LOAN_PART: u64 = 6;
 
@@ -38,6 +40,18 @@
 /// ahead.
 const SURPLUS: u64 = 2;
 
+/// The same in eighths of its part, where all that is unspent is less than the
+/// entries would like to hold.
+const SCARCE_SURPLUS: u64 = 10;
+
+/// Longest time between two demands for a team with grants: what is held too much
+/// somewhere is missing elsewhere.
+const REPORT: Span = Span::millis(1_000);
+
+/// Age of the ledger's answer up to which grants are given back: what is given back
+/// in a cut is of use to nobody.
+const RECENT: Span = Span::millis(2_500);
+
 #[derive(Clone, Copy, Debug, Default)]
 struct TeamGrants {
     granted: u64,
@@ -48,10 +62,14 @@
     charged: u64,
     /// The part of it that ended requests have used.
     spent: u64,
-    /// What may be charged as far as the disk says, where the grants are sealed.
+    /// What may be charged as far as a witness knows.
     opened: u64,
     /// Largest request that waits for a grant.
     short: u64,
+    /// Largest request that waits for a mark.
+    unopened: u64,
+    /// Largest loan that another entry asked for and that isn't opened.
+    asked: u64,
     /// Tokens charged in a window, decayed.
     demand: f64,
     /// When the first demand came; a young average covers less than a window.
@@ -65,6 +83,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Answer {
     at: Time,
+    fair: u64,
     free: u64,
     rest: u64,
 }
@@ -74,7 +93,7 @@
 pub enum Short {
     /// A grant must come first.
     Ungranted,
-    /// The disk must say first that more is opened.
+    /// A witness must know first that more is opened.
     Sealed,
     /// Other entries hold what is left.
     Held,
@@ -94,42 +113,72 @@
         self.touched = now;
     }
 
-    /// Returns what the entry should hold ahead at `now`.
+    /// Returns what callers are expected to need within `span`.
     #[allow(
         clippy::cast_precision_loss,
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss
     )]
-    fn ahead(&self, now: Time) -> u64 {
+    fn expected(&self, span: Span, now: Time) -> u64 {
         let Some(began) = self.began else {
-            return self.short;
+            return 0;
         };
         let age = began.until(now).max(YOUNG).0 as f64 / WINDOW.0 as f64;
         let covered = 1.0 - (-age).exp();
         let rate = self.demand / (WINDOW.0 as f64 * covered);
-        (rate * AHEAD.0 as f64) as u64 + self.short
+        (rate * span.0 as f64) as u64
+    }
+
+    /// Returns what the entry should hold ahead.
+    fn ahead(&self, now: Time) -> u64 {
+        self.expected(AHEAD, now) + self.short
+    }
+
+    /// Returns what the entry holds beyond its part.
+    fn surplus(&self, ahead: u64, now: Time) -> u64 {
+        let rest = self.rest();
+        let answer = self.answer.filter(|a| a.at.until(now) < RECENT);
+        let Some(answer) = answer else {
+            return 0;
+        };
+        let scarce = Some(answer.fair).filter(|&fair| fair < ahead);
+        let keep = match scarce {
+            Some(fair) if rest > fair * SCARCE_SURPLUS / 8 => fair.max(self.short),
+            None if rest > SURPLUS * ahead.max(1) => ahead,
+            _ => return 0,
+        };
+        rest.saturating_sub(keep)
+            .min(self.granted.saturating_sub(self.returned))
     }
 }
 
 /// An entry's grants under one lease.
 #[derive(Clone, Debug)]
 pub struct Grants {
-    lease: u64,
-    /// Whether no more is charged than the disk says was opened.
-    sealed: bool,
+    lease: Lease,
+    /// The witnesses that the ledger knows of; marks put down elsewhere don't count.
+    confirmed: Vec<KeeperId>,
+    /// Whether the ledger may not know the lease's present witnesses.
+    proposed: bool,
+    /// Who has the last mark.
+    marked: Option<KeeperId>,
     teams: Map<String, TeamGrants>,
 }
 
 impl Grants {
-    /// Returns no grants under `lease`, a number that was never used before.
-    ///
-    /// Sealed grants charge no more than was opened on a disk before: after a crash
-    /// the rest of their grants is known to be unspent.
+    /// Returns no grants of `holder` under the lease `id`, a number that was never
+    /// used before.
     #[must_use]
-    pub fn new(lease: u64, sealed: bool) -> Self {
+    pub fn new(id: u64, holder: u64) -> Self {
         Self {
-            lease,
-            sealed,
+            lease: Lease {
+                id,
+                holder,
+                ..Lease::default()
+            },
+            confirmed: Vec::new(),
+            proposed: false,
+            marked: None,
             teams: Map::default(),
         }
     }
@@ -137,16 +186,48 @@
     /// Returns the lease's number.
     #[must_use]
     pub fn lease(&self) -> u64 {
-        self.lease
+        self.lease.id
     }
 
     /// Returns what the entry draws under.
     #[must_use]
-    pub fn terms(&self) -> Lease {
-        Lease {
-            id: self.lease,
-            sealed: self.sealed,
+    pub fn terms(&self) -> &Lease {
+        &self.lease
+    }
+
+    /// Takes in which replicas should be witnesses.
+    ///
+    /// A present witness that isn't wanted is dropped only where the last mark is
+    /// with another that stays. One change is under way at a time.
+    pub fn propose(&mut self, wanted: &[KeeperId]) {
+        if self.proposed || wanted.is_empty() {
+            return;
+        }
+        let mut next: Vec<KeeperId> = wanted.to_vec();
+        let stays = |id: &KeeperId| wanted.contains(id) && self.confirmed.contains(id);
+        if !self.confirmed.is_empty() && !self.marked.as_ref().is_some_and(stays) {
+            next.extend(&self.confirmed);
         }
+        next.sort_unstable();
+        next.dedup();
+        if next != self.lease.witnesses {
+            self.lease.witnesses = next;
+            self.lease.version += 1;
+            self.proposed = true;
+        }
+    }
+
+    /// Returns whether the ledger must be told of other witnesses.
+    #[must_use]
+    pub fn proposed(&self) -> bool {
+        self.proposed
+    }
+
+    /// Returns the replicas at which a mark may be put down now.
+    #[must_use]
+    pub fn witnesses(&self) -> Vec<KeeperId> {
+        let both = |id: &&KeeperId| self.lease.witnesses.contains(id);
+        self.confirmed.iter().filter(both).copied().collect()
     }
 
     fn of(&mut self, team: &str) -> &mut TeamGrants {
@@ -162,11 +243,10 @@
     ///
     /// Fails where the team's grants hold less; the next demand then asks for it.
     pub fn charge(&mut self, team: &str, amount: u64, now: Time) -> Result<(), Short> {
-        let sealed = self.sealed;
         let held = self.of(team);
         held.decay(now);
-        if sealed && held.rest() >= amount && held.opened < held.charged + amount {
-            held.short = held.short.max(amount);
+        if held.rest() >= amount && held.opened < held.charged + amount {
+            held.unopened = held.unopened.max(amount);
             return Err(Short::Sealed);
         }
         if held.rest() >= amount {
@@ -189,7 +269,7 @@
 
     /// Settles a request that was charged `charged` under `lease` and used `used`.
     pub fn settle(&mut self, lease: u64, team: &str, charged: u64, used: u64) {
-        if lease == self.lease {
+        if lease == self.lease.id {
             let held = self.of(team);
             let used = used.min(charged);
             held.charged = held.charged.saturating_sub(charged - used);
@@ -203,20 +283,21 @@
         for (team, held) in &mut self.teams {
             held.decay(now);
             let ahead = held.ahead(now);
+            held.returned += held.surplus(ahead, now);
             let rest = held.rest();
-            if rest > SURPLUS * ahead.max(1) && held.granted > held.returned {
-                held.returned += (rest - ahead).min(held.granted - held.returned);
-            } else if rest * 10 > ahead * 9 && rest >= held.short {
+            let short = rest * 10 <= ahead * 9 || rest < held.short;
+            let late = held.answer.is_none_or(|a| a.at.until(now) > REPORT);
+            let holds = held.granted > held.returned;
+            if !(short || late && holds) {
                 continue;
             }
-            let rest = held.rest();
-            let need = held.short.saturating_sub(rest);
             demands.push(Demand {
                 team: team.clone(),
-                want: held.granted + ahead.saturating_sub(rest),
-                need: held.granted + need,
+                ahead,
+                need: held.granted + held.short.saturating_sub(rest),
                 returned: held.returned,
                 spent: held.spent,
+                charged: held.charged,
             });
         }
         demands
@@ -230,10 +311,11 @@
             held.short = 0;
             Demand {
                 team: team.clone(),
-                want: 0,
+                ahead: 0,
                 need: 0,
                 returned: held.returned,
                 spent: held.spent,
+                charged: held.charged,
             }
         };
         self.teams.iter_mut().map(close).collect()
@@ -254,14 +336,13 @@
     }
 
     /// Lends up to `amount`, at most half of what is left: the entry that asks may
-    /// have as long to go as this one. What is lent counts as spent here.
+    /// have as long to go as this one. What is lent counts as spent here; what isn't
+    /// opened can be lent once it is.
     pub fn lend(&mut self, team: &str, amount: u64) -> u64 {
-        let sealed = self.sealed;
         let held = self.of(team);
-        let mut loan = amount.min(held.rest() / 2);
-        if sealed {
-            loan = loan.min(held.opened.saturating_sub(held.charged));
-        }
+        let wanted = amount.min(held.rest() / 2);
+        let loan = wanted.min(held.opened.saturating_sub(held.charged));
+        held.asked = held.asked.max(wanted - loan);
         held.charged += loan;
         held.spent += loan;
         loan
@@ -269,65 +350,77 @@
 
     /// Takes in what another entry has lent.
     pub fn borrow(&mut self, team: &str, amount: u64) {
-        let sealed = self.sealed;
         let held = self.of(team);
         held.lent += amount;
-        if held.rest() >= held.short && !sealed {
+        if held.rest() >= held.short {
+            held.unopened = held.unopened.max(held.short);
             held.short = 0;
         }
     }
 
-    /// Returns what the disk should say is opened, where a team needs more soon.
-    pub fn marks(&mut self, now: Time) -> Option<Vec<(String, u64)>> {
-        if !self.sealed {
+    /// Returns the mark to put down where a team needs more opened soon.
+    pub fn mark(&mut self, now: Time) -> Option<Mark> {
+        if self.witnesses().is_empty() {
             return None;
         }
         let mut due = false;
-        let mut marks = Vec::with_capacity(self.teams.len());
+        let mut opened = Vec::with_capacity(self.teams.len());
         for (team, held) in &mut self.teams {
             held.decay(now);
-            let ahead = held.ahead(now) - held.short;
-            let target = held.charged + held.short + ahead / OPEN_PART;
             let most = held.granted + held.lent - held.returned;
-            let target = target.min(most).max(held.opened);
-            let least = held.charged + held.short + ahead / OPEN_PART / 2;
-            due |= held.opened < least && target > held.opened;
-            marks.push((team.clone(), target));
+            let ahead = held.expected(OPEN, now);
+            let needed = held.charged + held.unopened + held.asked;
+            let target = (needed + ahead).min(most).max(held.opened);
+            due |= held.opened < needed + ahead / 2 && target > held.opened;
+            opened.push((team.clone(), target));
         }
-        due.then_some(marks)
+        let lease = self.lease.id;
+        due.then_some(Mark { lease, opened })
     }
 
-    /// Takes in that the disk says so.
-    pub fn opened(&mut self, lease: u64, marks: &[(String, u64)]) {
-        if lease != self.lease {
+    /// Takes in that `witness` has the mark.
+    pub fn opened(&mut self, mark: &Mark, witness: KeeperId) {
+        if mark.lease != self.lease.id || !self.witnesses().contains(&witness) {
             return;
         }
-        for (team, opened) in marks {
+        self.marked = Some(witness);
+        for (team, opened) in &mark.opened {
             let held = self.of(team);
             held.opened = held.opened.max(*opened);
-            if held.rest() >= held.short && held.opened >= held.charged + held.short {
-                held.short = 0;
+            let room = held.opened.saturating_sub(held.charged);
+            if room >= held.unopened.min(held.rest()) {
+                held.unopened = 0;
+            }
+            if room >= held.asked {
+                held.asked = 0;
             }
         }
     }
 
-    /// Takes in the ledger's answers under `lease`.
-    pub fn granted(&mut self, lease: u64, answers: &[Granted], now: Time) {
-        if lease != self.lease {
+    /// Takes in the ledger's answers to a draw under `lease`.
+    pub fn granted(&mut self, lease: &Lease, answers: &[Granted], now: Time) {
+        if lease.id != self.lease.id {
             return;
         }
-        let sealed = self.sealed;
+        if lease.version == self.lease.version {
+            self.confirmed.clone_from(&lease.witnesses);
+            self.proposed = false;
+        }
         for answer in answers {
             let held = self.of(&answer.team);
             held.granted = held.granted.max(answer.granted);
+            held.asked = 0;
+            if held.rest() >= held.short {
+                held.unopened = held.unopened.max(held.short);
+            }
+            // Where it can't be had now, a request that still waits asks again.
+            held.short = 0;
             held.answer = Some(Answer {
                 at: now,
+                fair: answer.fair,
                 free: answer.free,
                 rest: answer.rest,
             });
-            if held.rest() >= held.short && !sealed {
-                held.short = 0;
-            }
         }
     }
 
