Know a lost disk by its successor's place, and send callers past a blind entry

Ruled out: too small a window of opened tokens; it would cost the same at each death.

Change: the log says which replica has its disk at which address. A replica that joins from the place of another displaces it, and the other's leases are closed. An entry that no witness answers refuses at once, closes that connection, and isn't ready until one answers; it goes on asking.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -112,7 +112,7 @@
                 if end == End::Cut {
                     return;
                 }
-                if request.close {
+                if request.close || end == End::Last {
                     conn.linger(LINGER).await;
                     return;
                 }
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -5,6 +5,7 @@
 //! replica out of the group until the folder can be opened again; traffic goes on.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -99,6 +100,8 @@
     pub id: KeeperId,
     /// Its disk.
     pub disk: u64,
+    /// Where its process takes messages.
+    pub address: SocketAddr,
     /// Replicas whose disk is known to be lost.
     pub lost: Vec<KeeperId>,
     /// Replicas heard lately, where this process has run long enough to tell.
@@ -139,6 +142,8 @@
 pub struct Start {
     /// The data folder.
     pub folder: PathBuf,
+    /// Where the process takes messages.
+    pub address: SocketAddr,
     /// Most bytes that the journal may take.
     pub quota: u64,
     /// Voters without which the first configuration isn't accepted.
@@ -270,6 +275,8 @@
     leader: Option<KeeperId>,
     member: bool,
     applied: u64,
+    /// Whether the place of the replica here was proposed in this term.
+    placed: bool,
     stop: Option<Sender<()>>,
     began: Instant,
     reported: Instant,
@@ -322,6 +329,7 @@
             leader: None,
             member: false,
             applied,
+            placed: false,
             stop: None,
             began: Instant::now(),
             reported: Instant::now(),
@@ -353,6 +361,7 @@
                 let at = self.base + millis(self.began.elapsed());
                 let effects = self.open.replica.tick(at);
                 self.gather(effects);
+                self.place_own();
                 self.report();
             }
             self.flush()?;
@@ -364,6 +373,22 @@
         }
     }
 
+    /// Notes where a replica has its disk.
+    fn place(&mut self, replica: KeeperId, address: SocketAddr) {
+        let (reply, _) = async_channel::bounded(1);
+        self.propose(&Command::Place { replica, address }, reply);
+    }
+
+    /// Notes where the replica here has its disk, where it leads and nobody knows.
+    fn place_own(&mut self) {
+        let (id, address) = (self.open.replica.id(), self.start.address);
+        let known = self.open.record.places.get(&address) == Some(&id);
+        if self.open.replica.role() == Role::Leader && !known && !self.placed {
+            self.placed = true;
+            self.place(id, address);
+        }
+    }
+
     /// Logs the sums of the allowances at the leader.
     fn report(&mut self) {
         if self.open.replica.role() != Role::Leader || self.reported.elapsed() < REPORT_EVERY {
@@ -508,7 +533,10 @@
             let present = joiner.present.as_ref();
             joiner.lost.contains(&id) || present.is_some_and(|list| !list.contains(&id))
         };
+        let displaced = self.open.record.displaced(joiner.id, joiner.address);
+        let displaced = displaced.filter(|&id| members.disk(id).is_some());
         let gone = members.others(replica.id()).find(|&id| absent(id));
+        let gone = displaced.or(gone);
         let change = gone.map_or(Change::Add(joiner.id, joiner.disk), Change::Remove);
         match self.open.replica.change(change) {
             Ok((position, effects)) => {
@@ -517,6 +545,9 @@
                     position.index
                 );
                 self.gather(effects);
+                if let Change::Add(id, _) = change {
+                    self.place(id, joiner.address);
+                }
             }
             Err(error) => log::debug!("group: event=join replica={} outcome={error}", joiner.id),
         }
@@ -600,7 +631,7 @@
         let answer = match outcome {
             _ if pending.term != term => Answer::Unsure,
             Outcome::Accepted(version) => Answer::Version(version),
-            Outcome::Closed => Answer::Done,
+            Outcome::Closed | Outcome::Placed => Answer::Done,
             Outcome::Granted(granted) => Answer::Granted(granted),
         };
         self.ready.push((pending.reply, answer));
@@ -636,6 +667,7 @@
                 self.applied
             );
             self.leader = leader;
+            self.placed = false;
             if leader != Some(replica.id()) {
                 let lost = std::mem::take(&mut self.pending);
                 for pending in lost.into_values() {
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -153,7 +153,7 @@
         }
         Ask::Read => Input::Read(reply),
         Ask::Draw(lease, demands) => Input::Draw(lease, demands, reply),
-        Ask::Join(id, disk, _) => Input::Join(joiner(shared, id, disk), reply),
+        Ask::Join(id, disk, address) => Input::Join(joiner(shared, id, disk, address), reply),
         Ask::Update(_)
         | Ask::Replica(_)
         | Ask::Known
@@ -172,7 +172,7 @@
     decided.or(late).await
 }
 
-fn joiner(shared: &Shared, id: KeeperId, disk: u64) -> Joiner {
+fn joiner(shared: &Shared, id: KeeperId, disk: u64, address: SocketAddr) -> Joiner {
     let now = shared.now();
     let state = shared.state();
     let heard = state
@@ -183,6 +183,7 @@
     Joiner {
         id,
         disk,
+        address,
         lost: state.lost.clone(),
         present: (Span(now.0) > REPLACE).then_some(present),
     }
@@ -545,9 +546,10 @@
         log::warn!("config: event=unconfirmed outcome=serving reason=\"no word from the group\"");
         state.confirmed = true;
     }
+    let spends = state.grants.spends(now);
     shared
         .health
-        .set_ready(state.confirmed && state.table.is_some());
+        .set_ready(state.confirmed && state.table.is_some() && spends);
 }
 
 /// At the first start, the process at the lowest seed names the replica that forms
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -91,6 +91,7 @@
             Some(folder) => {
                 let start = Start {
                     folder: folder.clone(),
+                    address,
                     quota: (settings.limits.disk_mb << 20) / QUOTA_PART,
                     quorum_size: 2 * settings.tolerated.instances + 1,
                     output: Arc::new(move |output| {
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -1,5 +1,10 @@
-//! The replicated state: the accepted configuration and the teams' allowances.
+//! The replicated state: the accepted configuration, the teams' allowances, and where
+//! each replica has its disk.
 
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use base::KeeperId;
 use ledger::Allowances;
 use ledger::allowance::Demand;
 use ledger::allowance::Granted;
@@ -26,6 +31,13 @@
         /// What its disk says was opened of each team's grants, at most.
         opened: Option<Vec<(String, u64)>>,
     },
+    /// Notes where a replica has its disk.
+    Place {
+        /// The replica.
+        replica: KeeperId,
+        /// Where its process takes messages.
+        address: SocketAddr,
+    },
     /// Grants an entry tokens.
     Draw {
         /// The entry's lease.
@@ -42,6 +54,8 @@
     Accepted(u64),
     /// The lease is closed.
     Closed,
+    /// The place is noted.
+    Placed,
     /// What was granted, or `None` where the lease was closed.
     Granted(Option<Vec<Granted>>),
 }
@@ -55,9 +69,19 @@
     pub body: Vec<u8>,
     /// The teams' allowances.
     pub allowances: Allowances,
+    /// The replica whose disk is at each place.
+    pub places: BTreeMap<SocketAddr, KeeperId>,
 }
 
 impl Record {
+    /// Returns the replica whose disk was at `address` before that of `replica`: one
+    /// process has one disk, so the earlier one is lost.
+    #[must_use]
+    pub fn displaced(&self, replica: KeeperId, address: SocketAddr) -> Option<KeeperId> {
+        let known = self.places.get(&address).copied();
+        known.filter(|&id| id != replica)
+    }
+
     /// Carries out a command at log time `at`, in milliseconds.
     pub fn apply(&mut self, command: Command, at: u64) -> Outcome {
         match command {
@@ -79,6 +103,10 @@
                 self.allowances.close(lease, opened.as_deref(), at);
                 Outcome::Closed
             }
+            Command::Place { replica, address } => {
+                self.places.insert(address, replica);
+                Outcome::Placed
+            }
             Command::Draw { lease, demands } => {
                 Outcome::Granted(self.allowances.draw(&lease, &demands, at))
             }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -78,6 +78,8 @@
 pub enum End {
     /// A whole answer was sent; the connection can go on.
     Answered,
+    /// A whole answer was sent that says that the connection closes.
+    Last,
     /// The connection must be closed without looking complete.
     Cut,
 }
@@ -178,6 +180,8 @@
     let after = refuse
         .room_ms()
         .map(|room| admission::retry_after_ms(room, left));
+    // The caller's next request goes to another process.
+    let close = request.close || refuse == Refuse::Unwitnessed;
     let id = request.call.id.as_deref();
     shared.meter.refused(refuse.status());
     log::info!(
@@ -194,10 +198,11 @@
         reason: refuse.reason(),
         id,
         after_ms: after,
-        close: request.close,
+        close,
     };
     call::write_refusal(&mut out, &refusal);
     match caller.write(&out).await {
+        Ok(()) if close => End::Last,
         Ok(()) => End::Answered,
         Err(_) => End::Cut,
     }
@@ -290,6 +295,7 @@
                 }
                 Err(Short::Exhausted) => return Err(Refuse::Budget),
                 Err(Short::Held) => return Err(Refuse::Grant),
+                Err(Short::Unwitnessed) => return Err(Refuse::Unwitnessed),
                 Err(Short::Ungranted) if hopeless => give_up = give_up.min(began + BORROW_WAIT),
                 Err(Short::Ungranted | Short::Sealed) => {}
             }
--- a/crates/gateway/src/relay/reading.rs
+++ b/crates/gateway/src/relay/reading.rs
@@ -69,7 +69,7 @@
             return Sent::Refused(head, body);
         }
         match self.pass(&head, &body, caller).await {
-            End::Answered => Sent::Done,
+            End::Answered | End::Last => Sent::Done,
             End::Cut => Sent::Cut,
         }
     }
--- a/crates/gateway/src/relay/refusal.rs
+++ b/crates/gateway/src/relay/refusal.rs
@@ -13,6 +13,8 @@
     Budget,
     /// No grant came in time.
     Grant,
+    /// No witness can be reached, so that nothing more may be spent here.
+    Unwitnessed,
     /// No engine could start it in time.
     Busy(f64),
     /// No engine is known.
@@ -39,6 +41,7 @@
             Self::Budget => 402,
             Self::Unconfigured
             | Self::Grant
+            | Self::Unwitnessed
             | Self::Busy(_)
             | Self::Nowhere
             | Self::NotRun
@@ -58,7 +61,9 @@
             Self::NoRoute => "no such route\n",
             Self::NoKey => "unknown key\n",
             Self::Budget => "the team's budget does not cover the request\n",
-            Self::Grant => "the team's budget can't be reached; the request did not run\n",
+            Self::Grant | Self::Unwitnessed => {
+                "the team's budget can't be reached; the request did not run\n"
+            }
             Self::Busy(_) => "all endpoints are busy; the request did not run\n",
             Self::Nowhere => "no endpoint is available; the request did not run\n",
             Self::NotRun => "the endpoints had no room; the request did not run\n",
@@ -75,7 +80,8 @@
             Self::Busy(ms) => Some(ms),
             Self::Unconfigured | Self::Nowhere | Self::Grant => Some(400.0),
             Self::NotRun => Some(300.0),
-            Self::Stopping => Some(0.0),
+            // Another process can take it at once.
+            Self::Stopping | Self::Unwitnessed => Some(0.0),
             _ => None,
         }
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -97,7 +97,7 @@
     pub grants: Grants,
     /// The replica that took the last mark.
     pub witness: Option<KeeperId>,
-    /// When no witness took a mark.
+    /// When no witness took a mark, the last time.
     pub disk_slow: Option<Time>,
     /// Whether the ledger answered the last time it was asked.
     pub ledger_answers: bool,
--- a/crates/gateway/src/witness.rs
+++ b/crates/gateway/src/witness.rs
@@ -222,7 +222,6 @@
 
 /// Puts marks down as requests need them.
 pub async fn mark(shared: Arc<Shared>) {
-    let mut lost = false;
     loop {
         let listener = shared.demand.listen();
         let now = shared.now();
@@ -234,7 +233,7 @@
         if let Some((mark, replicas)) = due {
             let targets = targets(&shared, &replicas);
             let put = put(&shared, targets, &replicas, &mark).await;
-            take(&shared, &mark, put, &mut lost);
+            take(&shared, &mark, put);
             if put == Put::Nowhere {
                 Timer::after(PAUSE).await;
             }
@@ -246,16 +245,20 @@
     }
 }
 
-fn take(shared: &Shared, mark: &Mark, put: Put, lost: &mut bool) {
+fn take(shared: &Shared, mark: &Mark, put: Put) {
     let lease = mark.lease;
+    let now = shared.now();
     let mut state = shared.state();
     match put {
         Put::At(witness) => {
+            if let Some(since) = state.grants.unwitnessed() {
+                let ms = since.until(now).as_millis();
+                log::info!(
+                    "budget: event=witness_regained lease={lease:x} witness={witness} ms={ms}"
+                );
+            }
             state.grants.opened(mark, witness);
             state.witness = Some(witness);
-            if std::mem::take(lost) {
-                log::info!("budget: event=witness_regained lease={lease:x} witness={witness}");
-            }
         }
         Put::Fenced => {
             let fresh = fastrand::u64(1..);
@@ -263,13 +266,14 @@
             state.grants = Grants::new(fresh, shared.holder());
         }
         Put::Nowhere => {
-            state.disk_slow = Some(shared.now());
-            if !std::mem::replace(lost, true) {
+            state.disk_slow = Some(now);
+            if state.grants.unwitnessed().is_none() {
                 log::warn!(
                     "budget: event=witness_lost lease={lease:x} last={:?}",
                     state.witness
                 );
             }
+            state.grants.unmarked(now);
         }
     }
     drop(state);
--- a/crates/ledger/src/grants.rs
+++ b/crates/ledger/src/grants.rs
@@ -48,6 +48,10 @@
 /// somewhere is missing elsewhere.
 const REPORT: Span = Span::millis(1_000);
 
+/// Time without a witness after which callers aren't welcome: a mark takes a third of
+/// a second where one can be reached at all.
+const UNWITNESSED: Span = Span::millis(350);
+
 /// Age of the ledger's answer up to which grants are given back: what is given back
 /// in a cut is of use to nobody.
 const RECENT: Span = Span::millis(2_500);
@@ -95,6 +99,8 @@
     Ungranted,
     /// A witness must know first that more is opened.
     Sealed,
+    /// No witness answers that could know it.
+    Unwitnessed,
     /// Other entries hold what is left.
     Held,
     /// The team's total doesn't cover it.
@@ -162,6 +168,8 @@
     proposed: bool,
     /// Who has the last mark.
     marked: Option<KeeperId>,
+    /// Since when no witness takes marks.
+    unwitnessed: Option<Time>,
     teams: Map<String, TeamGrants>,
 }
 
@@ -179,6 +187,7 @@
             confirmed: Vec::new(),
             proposed: false,
             marked: None,
+            unwitnessed: None,
             teams: Map::default(),
         }
     }
@@ -243,11 +252,16 @@
     ///
     /// Fails where the team's grants hold less; the next demand then asks for it.
     pub fn charge(&mut self, team: &str, amount: u64, now: Time) -> Result<(), Short> {
+        let unwitnessed = self.unwitnessed.is_some();
         let held = self.of(team);
         held.decay(now);
         if held.rest() >= amount && held.opened < held.charged + amount {
             held.unopened = held.unopened.max(amount);
-            return Err(Short::Sealed);
+            return Err(if unwitnessed {
+                Short::Unwitnessed
+            } else {
+                Short::Sealed
+            });
         }
         if held.rest() >= amount {
             #[allow(clippy::cast_precision_loss)]
@@ -374,16 +388,41 @@
             due |= held.opened < needed + ahead / 2 && target > held.opened;
             opened.push((team.clone(), target));
         }
+        // While none answers, a mark finds out when one does.
+        due |= self.unwitnessed.is_some();
         let lease = self.lease.id;
         due.then_some(Mark { lease, opened })
     }
 
+    /// Takes in that no witness has taken a mark.
+    pub fn unmarked(&mut self, now: Time) {
+        self.unwitnessed = self.unwitnessed.or(Some(now));
+    }
+
+    /// Returns since when no witness takes marks.
+    #[must_use]
+    pub fn unwitnessed(&self) -> Option<Time> {
+        self.unwitnessed
+    }
+
+    /// Returns whether callers of teams with a total are welcome: without a witness
+    /// nothing more may be spent here, while other entries may.
+    ///
+    /// Load pattern: entries without a disk are cut off from all disks for seconds;
+    /// callers that are turned away find entries with a disk once the balancer knows.
+    #[must_use]
+    pub fn spends(&self, now: Time) -> bool {
+        self.unwitnessed
+            .is_none_or(|since| since.until(now) < UNWITNESSED)
+    }
+
     /// Takes in that `witness` has the mark.
     pub fn opened(&mut self, mark: &Mark, witness: KeeperId) {
         if mark.lease != self.lease.id || !self.witnesses().contains(&witness) {
             return;
         }
         self.marked = Some(witness);
+        self.unwitnessed = None;
         for (team, opened) in &mark.opened {
             let held = self.of(team);
             held.opened = held.opened.max(*opened);
--- a/crates/ledger/tests/grants.rs
+++ b/crates/ledger/tests/grants.rs
@@ -677,3 +677,35 @@
     assert!(first + second > 30_000, "{second} lent after {first}");
     assert!(mark.opened[0].1 >= 20_000 + first + second);
 }
+
+/// Load pattern: entries without a disk are cut off from all disks for seconds.
+#[test]
+fn callers_are_not_welcome_without_a_witness() {
+    let mut allowances = Allowances::default();
+    allowances.set_total(TEAM, 1_000_000);
+    let mut grants = entry(1);
+    let mut now = Time(0);
+    for _ in 0..20 {
+        now = now + Span::millis(100);
+        let _ = charge(&mut grants, 1_000, now);
+        renew(&mut allowances, &mut grants, now);
+    }
+    let mut taken = 0;
+    for _ in 0..10 {
+        now = now + Span::millis(100);
+        taken += usize::from(grants.charge(TEAM, 1_000, now).is_ok());
+        if grants.mark(now).is_some() {
+            grants.unmarked(now);
+        }
+    }
+    assert!(
+        (3..=8).contains(&taken),
+        "{taken} served from what was opened"
+    );
+    assert_eq!(grants.charge(TEAM, 1_000, now), Err(Short::Unwitnessed));
+    assert!(!grants.spends(now), "others can serve callers");
+    let mark = grants.mark(now).expect("a witness is still sought");
+    grants.opened(&mark, WITNESS);
+    assert!(grants.spends(now));
+    assert_eq!(grants.charge(TEAM, 1_000, now), Ok(()));
+}
