Open a quarter of a second ahead, and say why a grant is missing

Change: half of what was opened ahead. A closed lease's line says what counts as spent that its entry had not said to be, and a refusal's cause says what its grant lacked.

--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -474,7 +474,7 @@
             if !known {
                 let lease = ended.lease;
                 log::warn!(
-                    "budget: event=lease_closed lease={lease:x} outcome=spent witnesses={:?} reason=\"a witness's disk is lost\"",
+                    "budget: event=lease_unsettled lease={lease:x} outcome=spent witnesses={:?} reason=\"a witness's disk is lost\"",
                     ended.witnesses
                 );
                 let (reply, _) = async_channel::bounded(1);
@@ -631,7 +631,11 @@
         let answer = match outcome {
             _ if pending.term != term => Answer::Unsure,
             Outcome::Accepted(version) => Answer::Version(version),
-            Outcome::Closed | Outcome::Placed => Answer::Done,
+            Outcome::Closed(unproven) => {
+                log::info!("budget: event=lease_closed index={index} unproven={unproven}");
+                Answer::Done
+            }
+            Outcome::Placed => Answer::Done,
             Outcome::Granted(granted) => Answer::Granted(granted),
         };
         self.ready.push((pending.reply, answer));
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -52,8 +52,9 @@
 pub enum Outcome {
     /// This configuration number is now the highest.
     Accepted(u64),
-    /// The lease is closed.
-    Closed,
+    /// The lease is closed; so many tokens count as spent that its entry had not said
+    /// to be.
+    Closed(u64),
     /// The place is noted.
     Placed,
     /// What was granted, or `None` where the lease was closed.
@@ -100,8 +101,7 @@
                 Outcome::Accepted(self.version)
             }
             Command::Close { lease, opened } => {
-                self.allowances.close(lease, opened.as_deref(), at);
-                Outcome::Closed
+                Outcome::Closed(self.allowances.close(lease, opened.as_deref(), at))
             }
             Command::Place { replica, address } => {
                 self.places.insert(address, replica);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -294,13 +294,16 @@
                     });
                 }
                 Err(Short::Exhausted) => return Err(Refuse::Budget),
-                Err(Short::Held) => return Err(Refuse::Grant),
+                Err(Short::Held) => return Err(Refuse::Grant(Short::Held)),
                 Err(Short::Unwitnessed) => return Err(Refuse::Unwitnessed),
-                Err(Short::Ungranted) if hopeless => give_up = give_up.min(began + BORROW_WAIT),
-                Err(Short::Ungranted | Short::Sealed) => {}
-            }
-            if now >= give_up || now >= self.deadline {
-                return Err(Refuse::Grant);
+                Err(short) => {
+                    if short == Short::Ungranted && hopeless {
+                        give_up = give_up.min(began + BORROW_WAIT);
+                    }
+                    if now >= give_up || now >= self.deadline {
+                        return Err(Refuse::Grant(short));
+                    }
+                }
             }
             self.shared.demand.notify(usize::MAX);
             let late = async {
--- a/crates/gateway/src/relay/refusal.rs
+++ b/crates/gateway/src/relay/refusal.rs
@@ -1,5 +1,7 @@
 //! Why a request isn't answered by an engine.
 
+use ledger::grants::Short;
+
 /// Why a request isn't answered by an engine.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Refuse {
@@ -11,8 +13,8 @@
     NoKey,
     /// The team's total doesn't cover the request at its most.
     Budget,
-    /// No grant came in time.
-    Grant,
+    /// No grant came in time, and why.
+    Grant(Short),
     /// No witness can be reached, so that nothing more may be spent here.
     Unwitnessed,
     /// No engine could start it in time.
@@ -40,7 +42,7 @@
             Self::NoKey => 401,
             Self::Budget => 402,
             Self::Unconfigured
-            | Self::Grant
+            | Self::Grant(_)
             | Self::Unwitnessed
             | Self::Busy(_)
             | Self::Nowhere
@@ -61,7 +63,7 @@
             Self::NoRoute => "no such route\n",
             Self::NoKey => "unknown key\n",
             Self::Budget => "the team's budget does not cover the request\n",
-            Self::Grant | Self::Unwitnessed => {
+            Self::Grant(_) | Self::Unwitnessed => {
                 "the team's budget can't be reached; the request did not run\n"
             }
             Self::Busy(_) => "all endpoints are busy; the request did not run\n",
@@ -78,7 +80,7 @@
     pub fn room_ms(self) -> Option<f64> {
         match self {
             Self::Busy(ms) => Some(ms),
-            Self::Unconfigured | Self::Nowhere | Self::Grant => Some(400.0),
+            Self::Unconfigured | Self::Nowhere | Self::Grant(_) => Some(400.0),
             Self::NotRun => Some(300.0),
             // Another process can take it at once.
             Self::Stopping | Self::Unwitnessed => Some(0.0),
--- a/crates/ledger/src/allowance.rs
+++ b/crates/ledger/src/allowance.rs
@@ -237,11 +237,14 @@
 
     /// Closes a lease. `opened` bounds what its entry can have spent of each team's
     /// grants; without it, all of them count as spent.
-    pub fn close(&mut self, lease: u64, opened: Option<&[(String, u64)]>, at: u64) {
+    ///
+    /// Returns what counts as spent that the entry had not said to be.
+    pub fn close(&mut self, lease: u64, opened: Option<&[(String, u64)]>, at: u64) -> u64 {
         if self.leases.remove(&lease).is_none() {
-            return;
+            return 0;
         }
         self.closed.insert(lease, at);
+        let mut unproven = 0;
         for (team, account) in &mut self.accounts {
             let Some(grant) = account.grants.remove(&lease) else {
                 continue;
@@ -251,8 +254,11 @@
                 let found = list.iter().find(|(name, _)| name == team);
                 found.map_or(0, |&(_, opened)| opened)
             });
-            account.closed += bound.map_or(most, |bound| bound.min(most));
+            let spent = bound.map_or(most, |bound| bound.min(most));
+            account.closed += spent;
+            unproven += spent.saturating_sub(grant.spent);
         }
+        unproven
     }
 
     /// Returns the leases to close: those that have ended, and those last used before
--- a/crates/ledger/src/grants.rs
+++ b/crates/ledger/src/grants.rs
@@ -20,8 +20,8 @@
 const AHEAD: Span = Span::millis(10_000);
 
 /// Demand that is opened ahead: what a death costs. A mark reaches a disk in some
-/// milliseconds, and another disk within a third of a second where some don't answer.
-const OPEN: Span = Span::millis(500);
+/// milliseconds, and requests wait for it.
+const OPEN: Span = Span::millis(250);
 
 /// Window of the demand's average.
 const WINDOW: Span = Span::millis(4_000);
