--- a/crates/ledger/tests/grants.rs
+++ b/crates/ledger/tests/grants.rs
@@ -685,15 +685,20 @@
     allowances.set_total(TEAM, 1_000_000);
     let mut grants = entry(1);
     let mut now = Time(0);
+    let mut charged = 0;
     for _ in 0..20 {
         now = now + Span::millis(100);
-        let _ = charge(&mut grants, 1_000, now);
+        charged += 1_000 * u64::from(charge(&mut grants, 1_000, now).is_ok());
         renew(&mut allowances, &mut grants, now);
     }
+    grants.unmarked(now);
+    let mark = grants.mark(now).expect("a witness is sought");
+    grants.opened(&mark, WITNESS);
+    let opened = mark.opened[0].1;
     let mut taken = 0;
     for _ in 0..10 {
         now = now + Span::millis(100);
-        taken += usize::from(grants.charge(TEAM, 1_000, now).is_ok());
+        taken += u64::from(grants.charge(TEAM, 1_000, now).is_ok());
         if grants.mark(now).is_some() {
             grants.unmarked(now);
         }
