Add a soak of real processes under seeded faults

mulberryctl soak starts five processes of the gateway on loopback addresses, with stand-in engines behind proxies that delay, reset, silence or cut one way, kills, freezes, wipes, stops, reloads and restarts them as a seed says, and checks while it runs what callers and engines see: whole answers to the right caller, at most one run, true refusals, totals, acknowledged configurations, planned stops.

--- a/crates/mulberryctl/src/command.rs
+++ b/crates/mulberryctl/src/command.rs
@@ -30,6 +30,8 @@
 use crate::operate;
 use crate::operate::Operator;
 use crate::report;
+use crate::soak_tool;
+use crate::soak_tool::SoakPlan;
 
 /// A subcommand.
 struct Command {
@@ -53,6 +55,45 @@
             future::block_on(demo::run(&pool, matches.opt_present("serve")))
         },
     },
+    Command {
+        name: "soak",
+        words: "",
+        help: "run real processes under seeded faults and check the promises",
+        options: |options| {
+            options.optopt("", "seed", "the first seed (drawn)", "N");
+            options.optopt("", "runs", "runs, each with the next seed (1)", "N");
+            options.optopt("", "jobs", "runs at the same time (1)", "N");
+            options.optopt("", "seconds", "length of a run (15)", "N");
+            options.optopt("", "callers", "callers of a run (12)", "N");
+            options.optopt(
+                "",
+                "daemon",
+                "the program (mulberryd beside this one)",
+                "FILE",
+            );
+            options.optopt(
+                "",
+                "keep",
+                "where files of failed runs stay (./soak)",
+                "DIR",
+            );
+        },
+        run: |matches| {
+            let plan = SoakPlan {
+                seed: number(matches, "seed", fastrand::u64(..1_000_000_000))?,
+                runs: number(matches, "runs", 1)?,
+                jobs: number(matches, "jobs", 1)?,
+                seconds: number(matches, "seconds", 15)?,
+                callers: number(matches, "callers", 12)?,
+                daemon: match matches.opt_str("daemon") {
+                    Some(file) => file.into(),
+                    None => std::env::current_exe()?.with_file_name("mulberryd"),
+                },
+                folder: matches.opt_str("keep").unwrap_or("soak".to_owned()).into(),
+            };
+            soak_tool::run(&plan)
+        },
+    },
     Command {
         name: "init",
         words: "DIR",
--- a/crates/mulberryctl/src/lib.rs
+++ b/crates/mulberryctl/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`operate`]: commands of operators.
 //! - [`report`]: the report on service-level burn.
 //! - [`site`]: a site on loopback with stand-ins.
+//! - [`soak_tool`]: runs of real processes under seeded faults.
 //! - [`store_tool`]: checks and dumps of a data folder.
 
 pub mod bench;
@@ -18,4 +19,5 @@
 pub mod operate;
 pub mod report;
 pub mod site;
+pub mod soak_tool;
 pub mod store_tool;
--- /dev/null
+++ b/crates/mulberryd/tests/soak.rs
@@ -0,0 +1,32 @@
+//! A short soak of real processes: a seed with faults and one with planned work.
+//!
+//! Seeds that once failed are added here, with a line on the cause.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use soak::Setup;
+
+fn soak(seed: u64) {
+    let base = std::env::temp_dir().join(format!("soak-{}", std::process::id()));
+    let setup = Setup {
+        seed,
+        length: Duration::from_secs(7),
+        callers: 6,
+        daemon: PathBuf::from(env!("CARGO_BIN_EXE_mulberryd")),
+        folder: soak::run::folder(&base, seed),
+    };
+    let report = soak::run(&setup).expect("the processes serve");
+    assert!(report.breaches.is_empty(), "{report:?}");
+    assert!(report.faults > 0);
+}
+
+#[test]
+fn faults_break_no_promise() {
+    soak(1);
+}
+
+#[test]
+fn planned_work_cuts_nothing() {
+    soak(5);
+}
