Close the port before a planned stop ends, and log every answer that is cut

Change: once drained, a process closes its port, closes connections without a request, and waits for what has begun, counted from a request's first byte. A cut answer is logged and counted wherever it ends. Messages for a replica that has stopped are no longer an error line each.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddrV4;
 use std::net::TcpListener;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_io::Async;
@@ -57,12 +58,22 @@
 
 async fn accept(shared: Arc<Shared>, listener: Async<TcpListener>) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
+        let closing = shared.closing.listen();
+        if shared.closed() {
+            return;
+        }
+        let accepted = async { Some(listener.accept().await) };
+        let closing = async {
+            closing.await;
+            None
+        };
+        match accepted.or(closing).await {
+            None => return,
+            Some(Ok((stream, _))) => {
                 let conn = Conn::new(stream);
                 shared.pool.spawn(serve(Arc::clone(&shared), conn));
             }
-            Err(error) => {
+            Some(Err(error)) => {
                 log::warn!("front: event=accept outcome=failed reason=\"{error}\"");
                 Timer::after(ACCEPT_PAUSE).await;
             }
@@ -77,6 +88,23 @@
     Closed,
 }
 
+/// Counts a connection as busy from the first byte of a request to the end of its
+/// answer: a planned stop waits for it.
+struct Busy<'a>(&'a Shared);
+
+impl<'a> Busy<'a> {
+    fn new(shared: &'a Shared) -> Self {
+        shared.busy.fetch_add(1, Ordering::Relaxed);
+        Self(shared)
+    }
+}
+
+impl Drop for Busy<'_> {
+    fn drop(&mut self) {
+        self.0.busy.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 async fn serve(shared: Arc<Shared>, mut conn: Conn) {
     loop {
         let (limits, stopping) = {
@@ -85,6 +113,11 @@
             let limits = table.map_or_else(Limits::default, |table| table.site().limits.clone());
             (limits, shared.health.stopping())
         };
+        let idle = Duration::from_millis(limits.idle_ms) + IDLE_MARGIN;
+        if conn.buf.is_empty() && !wait_first(&shared, &mut conn, idle).await {
+            return;
+        }
+        let _busy = Busy::new(&shared);
         match next(&shared, &mut conn, &limits).await {
             Next::Closed => return,
             Next::Refused(status, reason) => {
@@ -122,10 +155,6 @@
 }
 
 async fn next(shared: &Shared, conn: &mut Conn, limits: &Limits) -> Next {
-    let idle = Duration::from_millis(limits.idle_ms) + IDLE_MARGIN;
-    if conn.buf.is_empty() && !wait_first(shared, conn, idle).await {
-        return Next::Closed;
-    }
     let arrived = shared.now();
     let reading = read_head(conn, limits);
     let late = async {
@@ -142,12 +171,20 @@
 async fn wait_first(shared: &Shared, conn: &mut Conn, idle: Duration) -> bool {
     let since = shared.now();
     loop {
+        let closing = shared.closing.listen();
+        if shared.closed() {
+            return false;
+        }
         let filled = async { Some(conn.fill().await) };
         let late = async {
             Timer::after(STOP_LOOK).await;
             None
         };
-        match filled.or(late).await {
+        let closing = async {
+            closing.await;
+            None
+        };
+        match filled.or(closing).or(late).await {
             Some(Ok(read)) => return read > 0,
             Some(Err(_)) => return false,
             None => {}
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -205,7 +205,8 @@
     /// Hands an input to the thread.
     pub fn send(&self, input: Input) {
         if self.inputs.send(input).is_err() {
-            log::error!("group: event=input_lost reason=stopped");
+            // Others may send messages until they learn that this replica has gone.
+            log::debug!("group: event=input_lost reason=stopped");
         }
     }
 }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -43,6 +43,10 @@
 /// Time in which messages that hand over leadership leave.
 const HAND_OVER: Duration = Duration::from_millis(120);
 
+/// Time in which requests arrive that were sent before the port closed: some one-way
+/// delays between callers and entries.
+const LAST_CALLS: Duration = Duration::from_millis(60);
+
 /// Time between two looks at the settings file.
 const SETTINGS_LOOK: Duration = Duration::from_secs(2);
 
@@ -196,6 +200,12 @@
             }
             Timer::after(Duration::from_millis(50)).await;
         }
+        // What was sent before callers saw the port closed is still answered.
+        shared.close();
+        Timer::after(LAST_CALLS).await;
+        while shared.now() < end && shared.busy.load(Ordering::Relaxed) > 0 {
+            Timer::after(Duration::from_millis(10)).await;
+        }
         budget::close(shared).await;
         if let Some(group) = &shared.group {
             let (done, stopped) = async_channel::bounded(1);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,7 +10,6 @@
 
 use std::io;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use async_io::Timer;
 use base::Span;
@@ -138,7 +137,6 @@
 
 /// Answers `request` on its caller's connection.
 pub async fn answer(shared: &Arc<Shared>, request: &Request, caller: &mut Conn) -> End {
-    shared.busy.fetch_add(1, Ordering::Relaxed);
     let mut ahead = Vec::new();
     let end = {
         let conn = &*caller;
@@ -150,7 +148,6 @@
         gone.or(work).await
     };
     caller.buf.extend_from_slice(&ahead);
-    shared.busy.fetch_sub(1, Ordering::Relaxed);
     let id = request.call.id.as_deref().unwrap_or("-");
     let took = request.arrived.until(shared.now()).as_millis();
     end.unwrap_or_else(|| {
@@ -341,13 +338,7 @@
                     return Ok(End::Answered);
                 }
                 Sent::Cut => {
-                    let took = self.request.arrived.until(self.shared.now()).as_millis();
-                    self.shared.meter.cut();
-                    log::info!(
-                        "request: id={id} event=end outcome=cut engine={} events={} ms={took}",
-                        engine.id,
-                        self.events
-                    );
+                    self.log_cut(&engine.id);
                     return Ok(End::Cut);
                 }
                 Sent::NotRun => {
@@ -388,6 +379,18 @@
         }
     }
 
+    /// Logs an answer that ends before it's whole; `engine` is the last that was tried.
+    fn log_cut(&self, engine: &str) {
+        let took = self.request.arrived.until(self.shared.now()).as_millis();
+        self.shared.meter.cut();
+        log::info!(
+            "request: id={} event=end outcome=cut engine={engine} tries={} events={} ms={took}",
+            self.request.call.id.as_deref().unwrap_or("-"),
+            self.tried.len(),
+            self.events
+        );
+    }
+
     fn log_done(&self, engine: &Announcement) {
         let now = self.shared.now();
         let took = self.request.arrived.until(now).as_millis();
@@ -449,6 +452,7 @@
         caller: &Conn,
     ) -> Result<End, Refuse> {
         if self.begun {
+            self.log_cut("none_left");
             return Ok(End::Cut);
         }
         if let Some((head, body)) = kept {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,6 +7,7 @@
 use std::sync::MutexGuard;
 use std::sync::OnceLock;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -143,6 +144,10 @@
     pub demand: Event,
     /// Requests in progress.
     pub busy: AtomicUsize,
+    /// Told when callers are taken no more.
+    pub closing: Event,
+    /// Whether callers are taken no more.
+    shut: AtomicBool,
     /// The connections to peers, once they're bound.
     pub node: OnceLock<Node>,
     /// When the order to stop came, in microseconds; zero before.
@@ -283,6 +288,8 @@
             news: Event::new(),
             demand: Event::new(),
             busy: AtomicUsize::new(0),
+            closing: Event::new(),
+            shut: AtomicBool::new(false),
             node: OnceLock::new(),
             stopped: AtomicU64::new(0),
             outboxes: Mutex::default(),
@@ -313,6 +320,18 @@
         self.news.notify(usize::MAX);
     }
 
+    /// Takes no callers any more.
+    pub fn close(&self) {
+        self.shut.store(true, Ordering::Relaxed);
+        self.closing.notify(usize::MAX);
+    }
+
+    /// Returns whether callers are taken no more.
+    #[must_use]
+    pub fn closed(&self) -> bool {
+        self.shut.load(Ordering::Relaxed)
+    }
+
     /// Returns the time from the order to stop to the end of all work.
     #[must_use]
     pub fn grace(&self) -> Span {
--- a/crates/soak/src/engine.rs
+++ b/crates/soak/src/engine.rs
@@ -13,6 +13,7 @@
 use http::write::chunk;
 use http::write::last_chunk;
 use platform::outside;
+use platform::outside::Line;
 use platform::outside::Received;
 
 use crate::oracle::Oracle;
@@ -39,6 +40,8 @@
     pub streams: bool,
     /// Whether its requests may run more than once.
     pub repeats: bool,
+    /// Whether it has no room now and then, and breaks streams off.
+    pub faulty: bool,
     /// Where it takes requests.
     pub address: SocketAddrV4,
 }
@@ -51,16 +54,17 @@
     /// Fails where no port can be bound.
     pub fn spawn(
         id: String,
-        streams: bool,
-        repeats: bool,
+        route: &Line<'_>,
+        faulty: bool,
         oracle: &Arc<Oracle>,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
         let port = listener.local_addr()?.port();
         let engine = Self {
             id,
-            streams,
-            repeats,
+            streams: route.streams,
+            repeats: route.repeats,
+            faulty,
             address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, port),
         };
         let (own, oracle) = (engine.clone(), Arc::clone(oracle));
@@ -86,7 +90,7 @@
                 conn.stream.write_all(&out)?;
                 continue;
             }
-            if count % FULL == 0 {
+            if self.faulty && count % FULL == 0 {
                 outside::write_not_run(&mut out, 503, &asked.id);
                 conn.stream.write_all(&out)?;
                 continue;
@@ -96,7 +100,7 @@
             }
             oracle.ran(&asked.id, &asked.team, asked.tokens.0, self.repeats);
             if self.streams {
-                let broken = count % BROKEN == 0;
+                let broken = self.faulty && count % BROKEN == 0;
                 stream_events(&mut conn, &asked, broken)?;
             } else {
                 thread::sleep(PACE);
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -23,6 +23,8 @@
     acknowledged: u64,
     counts: Counts,
     breaches: Vec<String>,
+    /// Requests that had run when their connections ended.
+    cut_running: Vec<String>,
 }
 
 /// How requests ended.
@@ -103,7 +105,10 @@
             Ended::Failed => seen.counts.failed += 1,
             Ended::Cut => {
                 seen.counts.cut += 1;
-                seen.counts.cut_running += u64::from(seen.runs.contains_key(id));
+                if seen.runs.contains_key(id) {
+                    seen.counts.cut_running += 1;
+                    seen.cut_running.push(id.to_owned());
+                }
             }
             Ended::Mixed(what) => seen.breach(format!("mixed: {id}: {what}")),
         }
@@ -134,6 +139,11 @@
         self.seen().breach(what);
     }
 
+    /// Returns the requests that had run when their connections ended.
+    pub fn cut_running(&self) -> Vec<String> {
+        self.seen().cut_running.clone()
+    }
+
     /// Returns how requests ended and what was broken.
     pub fn report(&self) -> (Counts, Vec<String>) {
         let seen = self.seen();
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -185,7 +185,8 @@
             // Two engines for streams, one for each other service.
             let route = ROUTES[number.saturating_sub(1)];
             let id = format!("engine-{number}");
-            let engine = Engine::spawn(id, route.streams, route.repeats, &oracle)?;
+            let faulty = !plan::planned_only(setup.seed);
+            let engine = Engine::spawn(id, &route, faulty, &oracle)?;
             let proxy = Proxy::spawn(engine.address)?;
             engines.push(announced(&engine.id, route.name, proxy.address));
             proxies.push(proxy);
@@ -387,8 +388,8 @@
         }
         let (counts, _) = self.oracle.report();
         if plan::planned_only(self.setup.seed) && counts.cut_running > 0 {
-            let cut = counts.cut_running;
-            let text = format!("stop: {cut} answers were cut by planned work");
+            let cut = self.oracle.cut_running();
+            let text = format!("stop: answers were cut by planned work: {cut:?}");
             self.oracle.broken(text);
         }
         if counts.answered == 0 {
