Borrow also where other entries hold all that is left of a team

Ruled out: the part kept free for such requests; more of it would be missing in cuts.

Change: a request that others hold the tokens of waits for loans as in a cut, for at most 120 ms; only what it lacks is asked for. The same peers are asked for a while, as a lender must open first what it lends.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -34,6 +34,9 @@
 /// Peers asked in one round of borrowing.
 const LENDERS: usize = 3;
 
+/// Time for which the same peers are asked.
+const LENDERS_FOR: Span = Span::millis(400);
+
 /// Longest wait for a peer that lends: some round trips between failure domains.
 const LEND_WAIT: Span = Span::millis(120);
 
@@ -135,14 +138,14 @@
 pub async fn borrow(shared: Arc<Shared>) {
     loop {
         let listener = shared.demand.listen();
-        if !shared.state().ledger_answers {
-            let mut lenders = near(&shared);
-            fastrand::shuffle(&mut lenders);
-            for address in lenders.into_iter().take(LENDERS) {
-                if !borrow_from(&shared, address).await {
-                    break;
-                }
+        let mut asked = false;
+        for address in lenders(&shared) {
+            if !borrow_from(&shared, address).await {
+                break;
             }
+            asked = true;
+        }
+        if asked {
             Timer::after(BORROW_GAP).await;
         }
         let tick = async {
@@ -152,12 +155,28 @@
     }
 }
 
+/// Returns the peers to ask now: the same ones for a while, since a lender opens what
+/// it's asked for before it can lend it.
+fn lenders(shared: &Shared) -> Vec<SocketAddr> {
+    let mut peers = near(shared);
+    if peers.is_empty() {
+        return peers;
+    }
+    peers.sort_unstable();
+    let turn = shared.now().0 / LENDERS_FOR.0;
+    let first = usize::try_from(turn).unwrap_or(0) % peers.len();
+    peers.rotate_left(first);
+    peers.truncate(LENDERS);
+    peers
+}
+
 /// Borrows from one peer; returns false where nothing is needed.
 async fn borrow_from(shared: &Shared, address: SocketAddr) -> bool {
     let now = shared.now();
     let (lease, wishes) = {
         let mut state = shared.state();
-        (state.grants.lease(), state.grants.wishes(now))
+        let cut = !state.ledger_answers;
+        (state.grants.lease(), state.grants.wishes(cut, now))
     };
     if wishes.is_empty() {
         return false;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -44,9 +44,9 @@
 /// a second.
 const GRANT_WAIT: Span = Span::millis(350);
 
-/// Longest wait for a loan where the ledger doesn't answer: two peers are asked, one
-/// after the other.
-const BORROW_WAIT: Span = Span::millis(80);
+/// Longest wait for a loan, where the ledger doesn't answer or others hold all that is
+/// left: some peers are asked, one after the other, and once more.
+const BORROW_WAIT: Span = Span::millis(120);
 
 /// Engines that are tried for one request before it's refused, where none ran it.
 const MOST_TRIES: usize = 3;
@@ -291,10 +291,10 @@
                     });
                 }
                 Err(Short::Exhausted) => return Err(Refuse::Budget),
-                Err(Short::Held) => return Err(Refuse::Grant(Short::Held)),
                 Err(Short::Unwitnessed) => return Err(Refuse::Unwitnessed),
                 Err(short) => {
-                    if short == Short::Ungranted && hopeless {
+                    let borrows = short == Short::Held || (short == Short::Ungranted && hopeless);
+                    if borrows {
                         give_up = give_up.min(began + BORROW_WAIT);
                     }
                     if now >= give_up || now >= self.deadline {
--- a/crates/ledger/src/grants.rs
+++ b/crates/ledger/src/grants.rs
@@ -335,15 +335,28 @@
         self.teams.iter_mut().map(close).collect()
     }
 
-    /// Returns what other entries are asked to lend while the ledger doesn't answer:
-    /// each team that is short, with an amount.
-    pub fn wishes(&mut self, now: Time) -> Vec<(String, u64)> {
+    /// Returns what other entries are asked to lend: each team that is short, with an
+    /// amount. While the ledger doesn't answer (`cut`), more is asked for at once;
+    /// else only for teams of which others hold all that is left.
+    ///
+    /// Load pattern: many small teams at many entries, each entry with less than one
+    /// large request of a team, all of them together with enough.
+    pub fn wishes(&mut self, cut: bool, now: Time) -> Vec<(String, u64)> {
         let mut wishes = Vec::new();
         for (team, held) in &mut self.teams {
             held.decay(now);
-            if held.short > 0 && held.rest() < held.short {
+            let missing = held.short.saturating_sub(held.rest());
+            if missing == 0 {
+                continue;
+            }
+            if cut {
                 let amount = held.short.max(held.ahead(now) / LOAN_PART);
                 wishes.push((team.clone(), amount));
+            } else if held
+                .answer
+                .is_some_and(|a| a.free < missing && a.rest >= missing)
+            {
+                wishes.push((team.clone(), missing));
             }
         }
         wishes
--- a/crates/ledger/tests/grants.rs
+++ b/crates/ledger/tests/grants.rs
@@ -637,7 +637,7 @@
             refused += usize::from(cut && charge(&mut busy, 1_000, now).is_err());
         }
         if cut {
-            for (team, amount) in busy.wishes(now) {
+            for (team, amount) in busy.wishes(true, now) {
                 let mut loan = calm.lend(&team, amount);
                 open(&mut calm, now);
                 loan += calm.lend(&team, amount - loan);
@@ -715,3 +715,40 @@
     assert!(grants.spends(now));
     assert_eq!(grants.charge(TEAM, 1_000, now), Ok(()));
 }
+
+/// Load pattern: a small team at many entries, each of which holds less than one large
+/// request of it, and all of them enough.
+#[test]
+fn a_large_request_of_a_small_team_is_lent_for() {
+    let mut allowances = Allowances::default();
+    allowances.set_total(TEAM, 60_000);
+    let mut entries: Vec<Grants> = (1..=16).map(entry).collect();
+    let mut now = Time(0);
+    for _ in 0..20 {
+        now = now + Span::millis(100);
+        for grants in &mut entries {
+            let lease = grants.lease();
+            if charge(grants, 300, now).is_ok() {
+                grants.settle(lease, TEAM, 300, 60);
+            }
+            renew(&mut allowances, grants, now);
+        }
+    }
+    let mut busy = entries.remove(0);
+    assert_ne!(charge(&mut busy, 9_000, now), Ok(()));
+    renew(&mut allowances, &mut busy, now);
+    assert_eq!(charge(&mut busy, 9_000, now), Err(Short::Held));
+    for lender in &mut entries {
+        for (team, amount) in busy.wishes(false, now) {
+            let mut loan = lender.lend(&team, amount);
+            open(lender, now);
+            loan += lender.lend(&team, amount - loan);
+            busy.borrow(&team, loan);
+        }
+    }
+    assert_eq!(charge(&mut busy, 9_000, now), Ok(()));
+    assert!(
+        busy.wishes(false, now).is_empty(),
+        "nothing more is asked for"
+    );
+}
