Let a session wait for its engine while it's in time

Placement took the engine with the earliest first event, and moved a session as soon as waiting for its engine took longer than reading again, though both were in time. Ruled out: memory; all sessions' parts fit into the engines several times.

Change: among engines that are in time the cost counts what would be read again, each part by how rare it is; common parts still spread. Where none is in time, the soonest one is taken.

--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -32,6 +32,17 @@
 /// Cost of each running request to its neighbours, in milliseconds.
 const CROWD_MS: f64 = 0.35;
 
+/// Cost of reading a part that one other engine holds, besides the wait for it, as a
+/// multiple of the time that reading takes: the engine is missing to others meanwhile,
+/// and two engines then hold the part. From the sheets' price of what is read again
+/// against what an answer in time is worth. Parts that many engines hold cost less, so
+/// that common ones come to be everywhere and sessions spread.
+const REREAD: f64 = 2.0;
+
+/// Part of the longest acceptable time within which an engine counts as in time. The
+/// rest covers what arrives before the request does.
+const IN_TIME: f64 = 0.75;
+
 /// Part of an engine's memory that running requests may take before others are
 /// preempted.
 const MEMORY_PART: f64 = 0.9;
@@ -191,12 +202,23 @@
         expected + 20.0 * f64::from(over)
     }
 
-    fn cost(&self, wish: &Wish<'_>, total: Load, now: Time) -> (f64, f64) {
+    /// Returns the tokens that would be read here though others hold them, each part by
+    /// how rare it is.
+    fn again(&self, wish: &Wish<'_>, spread: &[f64]) -> f64 {
+        let parts = wish.parts.iter().zip(spread);
+        let missing = parts.skip_while(|(part, _)| self.parts.contains_key(&part.id));
+        missing
+            .map(|(part, rare)| f64::from(part.tokens) * rare)
+            .sum()
+    }
+
+    fn cost(&self, wish: &Wish<'_>, spread: &[f64], total: Load, now: Time) -> (f64, f64) {
         let expected = self.slowness(now) * self.sound_ms(wish, total);
         let far = if self.far { FAR_MS } else { 0.0 };
         let crowd = CROWD_MS * f64::from(total.running);
         let failing = FAILING_MS * self.failing * self.failing;
-        (expected, expected + far + crowd + failing)
+        let again = REREAD * self.again(wish, spread) / READ_RATE;
+        (expected, expected + far + crowd + failing + again)
     }
 
     fn remember(&mut self, parts: &[Part], now: Time) {
@@ -260,13 +282,31 @@
         self.engines.is_empty()
     }
 
+    /// Returns for each part of the prompt how rare it is: one where a single engine
+    /// holds it, less where more do, zero where none does.
+    fn spread(&self, wish: &Wish<'_>) -> Vec<f64> {
+        let rare = |part: &Part| {
+            let holds = |engine: &&Engine| engine.parts.contains_key(&part.id);
+            let holders = self.engines.values().filter(holds).count();
+            let holders = u32::try_from(holders).unwrap_or(u32::MAX);
+            if holders == 0 {
+                0.0
+            } else {
+                1.0 / f64::from(holders)
+            }
+        };
+        wish.parts.iter().map(rare).collect()
+    }
+
     /// Chooses an engine for `wish`.
     ///
     /// # Errors
     ///
     /// Fails where no engine could start it in time.
     pub fn choose(&self, wish: &Wish<'_>, now: Time) -> Result<Choice, Full> {
-        let mut best: Option<(f64, f64, u64, Load)> = None;
+        let spread = self.spread(wish);
+        let in_time = IN_TIME * wish.within_ms;
+        let mut best: Option<(bool, f64, f64, u64, Load)> = None;
         let mut rested = true;
         for pass in 0..2 {
             for (&id, engine) in &self.engines {
@@ -274,15 +314,19 @@
                 if wish.tried.contains(&id) || (pass == 0 && resting) {
                     continue;
                 }
-                let (expected, cost) = engine.cost(wish, engine.total(), now);
-                let better = best.is_none_or(|(least, ..)| cost < least);
+                let (expected, cost) = engine.cost(wish, &spread, engine.total(), now);
+                let late = expected > in_time;
+                // Where none is in time, the soonest one is best.
+                let cost = if late { expected } else { cost };
+                let better =
+                    best.is_none_or(|(was_late, least, ..)| (late, cost) < (was_late, least));
                 if better {
                     let load = Load {
                         running: 1,
                         reading: engine.unread(wish),
                         held: wish.prompt + wish.answer / 2,
                     };
-                    best = Some((cost, expected, id, load));
+                    best = Some((late, cost, expected, id, load));
                 }
             }
             if best.is_some() {
@@ -290,7 +334,7 @@
                 break;
             }
         }
-        let (_, expected_ms, engine, load) = best.ok_or(Full::Nowhere)?;
+        let (_, _, expected_ms, engine, load) = best.ok_or(Full::Nowhere)?;
         if rested && expected_ms > wish.within_ms {
             return Err(Full::Busy(expected_ms - wish.within_ms));
         }
--- a/crates/routing/tests/placement.rs
+++ b/crates/routing/tests/placement.rs
@@ -65,6 +65,42 @@
     }
 }
 
+/// Load pattern: sessions return while their engines are busier than others, though
+/// not so busy that they would answer late.
+#[test]
+fn a_session_waits_for_its_engine_while_it_is_in_time() {
+    let mut placement = engines(18);
+    let mut again = 0;
+    for session in 0..40 {
+        let parts = parts(session);
+        let choice = placement.choose(&wish(&parts, &[]), Time(1)).unwrap();
+        placement.sent(&choice, &parts[..2], Time(1));
+        let load = placement.started(&choice, choice.sound_ms, Time(1));
+        placement.ended(choice.engine, load, false);
+        let other = Load {
+            running: 4,
+            reading: 10_000,
+            held: 30_000,
+        };
+        let home = choice.engine;
+        placement.report(7, &[(home, other)]);
+        let back = placement.choose(&wish(&parts, &[]), Time(2)).unwrap();
+        again += usize::from(back.engine != home);
+        let late = Load {
+            reading: 20_000,
+            ..other
+        };
+        placement.report(7, &[(home, late)]);
+        let moved = placement.choose(&wish(&parts, &[]), Time(2)).unwrap();
+        assert_ne!(moved.engine, home, "it would answer late");
+        placement.report(7, &[]);
+    }
+    assert_eq!(
+        again, 0,
+        "sessions read again though their engine was in time"
+    );
+}
+
 /// Load pattern: one session gets much of the traffic. Its home is left once waiting
 /// costs more than reading again.
 #[test]
