--- a/crates/ledger/tests/grants.rs
+++ b/crates/ledger/tests/grants.rs
@@ -752,3 +752,31 @@
         "nothing more is asked for"
     );
 }
+
+/// Load pattern: a team's total is nearly used, and callers come to all of many
+/// entries. Pieces that are left at each must not add up.
+#[test]
+fn the_last_of_a_total_is_spent() {
+    let mut allowances = Allowances::default();
+    allowances.set_total(TEAM, 600_000);
+    let mut entries: Vec<Grants> = (1..=12).map(entry).collect();
+    let mut now = Time(0);
+    let mut used = 0;
+    for round in 0..400_usize {
+        now = now + Span::millis(100);
+        let busy = round % entries.len();
+        for (place, grants) in entries.iter_mut().enumerate() {
+            let lease = grants.lease();
+            // A request that is short waits for a draw.
+            for _ in 0..2 {
+                if place == busy && charge(grants, 5_000, now).is_ok() {
+                    grants.settle(lease, TEAM, 5_000, 4_000);
+                    used += 4_000;
+                    break;
+                }
+                renew(&mut allowances, grants, now);
+            }
+        }
+    }
+    assert!(used > 590_000, "{used} of 600000 used");
+}
