Remove replicas that are gone, let them rejoin, and find a leader heard early

One replica was replaced at 2.9 s and stayed a member: the one that joined asked before its silence was long enough, and nobody asked again.

Change: the leader removes a member that nobody hears for 12 s where enough voters remain; a replica that hears no leader asks the one that peers name to let it join again; the leader's process is looked for again as processes become known.

--- a/crates/consensus/src/members.rs
+++ b/crates/consensus/src/members.rs
@@ -88,6 +88,19 @@
             .filter(move |&id| id != except)
     }
 
+    /// Returns a member that can be removed because it isn't among those `present`,
+    /// where at least `least` of these remain.
+    ///
+    /// A member that is gone for good counts towards the quorum until it's removed, so
+    /// that the next losses stop the group.
+    #[must_use]
+    pub fn superfluous(&self, present: &[KeeperId], least: usize) -> Option<KeeperId> {
+        let here = self.voters.keys().filter(|id| present.contains(id)).count();
+        let ids = self.voters.keys().chain(self.learners.keys());
+        let gone = ids.copied().find(|id| !present.contains(id));
+        gone.filter(|_| here >= least)
+    }
+
     /// Returns the members after `change`.
     ///
     /// # Errors
--- a/crates/consensus/tests/rules.rs
+++ b/crates/consensus/tests/rules.rs
@@ -107,3 +107,26 @@
     replica.receive(from(1, 4, appended(3)));
     assert_eq!(replica.commit(), 3);
 }
+
+/// A replica is gone for good and another has joined: the first still counts towards
+/// the quorum until it's removed.
+#[test]
+fn a_member_that_is_gone_is_removed_where_enough_remain() {
+    let id = KeeperId;
+    let members = Members {
+        voters: (1..=4).map(|n| (id(n), u64::from(n))).collect(),
+        learners: [(id(5), 5)].into(),
+    };
+    let all: Vec<KeeperId> = (1..=5).map(id).collect();
+    assert_eq!(members.superfluous(&all, 3), None, "all are there");
+    let without_two = [id(1), id(3), id(4), id(5)];
+    assert_eq!(members.superfluous(&without_two, 3), Some(id(2)));
+    let too_few = [id(1), id(3), id(5)];
+    assert_eq!(
+        members.superfluous(&too_few, 3),
+        None,
+        "a learner isn't a voter"
+    );
+    let without_learner = [id(1), id(2), id(3), id(4)];
+    assert_eq!(members.superfluous(&without_learner, 3), Some(id(5)));
+}
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -88,6 +88,8 @@
     /// Asks the leader which leases should be closed. Where the leases of all entries
     /// that are heard are named, silent ones that aren't among them are too.
     Ended(Option<Vec<u64>>, Sender<Vec<Ended>>),
+    /// Tells the leader which replicas were heard lately; others may be removed.
+    Present(Vec<KeeperId>),
     /// Adds a learner, and removes a member that it replaces.
     Join(Joiner, Reply),
     /// Hands leadership over and stops.
@@ -447,6 +449,7 @@
             Input::Close(lease, opened, reply) => {
                 self.propose(&Command::Close { lease, opened }, reply);
             }
+            Input::Present(present) => self.remove_absent(present),
             Input::Ended(live, reply) => self.ended(live.as_deref(), &reply),
             Input::Join(joiner, reply) => self.join(&joiner, reply),
             Input::Stop(done) => {
@@ -457,6 +460,30 @@
         }
     }
 
+    /// Removes a member that is gone, where enough others are there.
+    fn remove_absent(&mut self, mut present: Vec<KeeperId>) {
+        let replica = &self.open.replica;
+        if replica.role() != Role::Leader {
+            return;
+        }
+        present.push(replica.id());
+        let least = self.start.quorum_size;
+        let Some(gone) = replica.members().superfluous(&present, least) else {
+            return;
+        };
+        let change = Change::Remove(gone);
+        match self.open.replica.change(change) {
+            Ok((position, effects)) => {
+                let index = position.index;
+                log::info!(
+                    "group: event=members change={change:?} index={index} reason=\"not heard\""
+                );
+                self.gather(effects);
+            }
+            Err(error) => log::debug!("group: event=members replica={gone} outcome={error}"),
+        }
+    }
+
     /// Tells which leases should be closed by their witnesses' marks. Those with a
     /// witness whose disk is lost are closed at once: all that they hold counts as
     /// spent.
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -78,6 +78,10 @@
 /// Silence after which a replica may be replaced by one that joins.
 pub const REPLACE: Span = Span::millis(6_000);
 
+/// Time without a leader after which a replica asks to join again; elections are over
+/// within a second or two.
+const ALONE: Span = Span::millis(2_500);
+
 /// Time between two requests to join the group.
 pub const JOIN_EVERY: Duration = Duration::from_millis(300);
 
@@ -351,6 +355,7 @@
         peer.serving = update.serving && !update.leaving;
         peer.lease = update.lease;
     }
+    state.told = update.leader.or(state.told);
     let own = shared.group.is_some() && state.joined;
     if !own && update.leader.is_some() {
         state.leader = update.leader;
@@ -520,6 +525,9 @@
 fn sweep(shared: &Shared, now: Time) {
     let mut state = shared.state();
     let state = &mut *state;
+    if state.leader.is_none() && state.heading.is_some() {
+        state.find_leader(&shared.own);
+    }
     state.sent.clear();
     state.links.sweep(now);
     state.directory.expire(now);
@@ -633,23 +641,32 @@
     }
 }
 
-/// Asks to join the group until the replica here belongs to it.
+/// Asks to join the group while the replica here doesn't belong to it, or hears no
+/// leader though others do: it may have been removed while it was cut off.
 pub async fn join(shared: Arc<Shared>) {
     let Some(group) = &shared.group else {
         return;
     };
+    let mut alone: Option<Time> = None;
     loop {
         Timer::after(JOIN_EVERY).await;
-        let (joined, leader) = {
+        let now = shared.now();
+        let (joined, leader, told) = {
             let state = shared.state();
-            (state.joined, state.leader)
+            (state.joined, state.leader, state.told)
         };
-        if joined || leader.is_none() {
-            continue;
-        }
+        alone = alone.or(Some(now)).filter(|_| leader.is_none());
         let ask = Ask::Join(group.id(), group.disk(), shared.own.address);
-        // The answer says nothing that membership itself doesn't.
-        let _ = lead(&shared, &ask, LEADER_WAIT).await;
+        // The answers say nothing that membership itself doesn't.
+        if !joined && leader.is_some() {
+            let _ = lead(&shared, &ask, LEADER_WAIT).await;
+        } else if joined
+            && alone.is_some_and(|since| since.until(now) > ALONE)
+            && let Some(leader) = told
+        {
+            log::info!("group: event=join leader={leader} reason=\"no leader is heard\"");
+            let _ = peer(&shared, leader, ask, LEADER_WAIT).await;
+        }
     }
 }
 
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -246,15 +246,8 @@
             }
             Output::Leader(leader) => {
                 let mut state = shared.state();
-                let own = leader.is_some() && leader == shared.own.keeper;
-                let mut peers = state.peers.values();
-                let found = peers.find(|peer| leader.is_some() && peer.member.keeper == leader);
-                let address = found.map(|peer| peer.member.address);
-                state.leader = if own {
-                    Some(shared.own.address)
-                } else {
-                    address
-                };
+                state.heading = leader;
+                state.find_leader(&shared.own);
                 drop(state);
                 shared.news.notify(usize::MAX);
             }
--- a/crates/gateway/src/settle.rs
+++ b/crates/gateway/src/settle.rs
@@ -25,6 +25,10 @@
 /// Longest wait for one witness.
 const WAIT: Span = Span::millis(300);
 
+/// Silence after which a replica counts as gone for good; cuts of single machines are
+/// shorter, and one that comes back joins again.
+const GONE: Span = Span::millis(12_000);
+
 /// Most leases closed in one round.
 const ROUND: usize = 24;
 
@@ -45,6 +49,9 @@
             let peers = state.peers.values().map(|peer| peer.lease);
             heard.then(|| peers.chain([state.grants.lease()]).collect())
         };
+        if let Some(present) = present(&shared) {
+            group.send(Input::Present(present));
+        }
         let (reply, answer) = async_channel::bounded(1);
         group.send(Input::Ended(live, reply));
         // No answer comes from a replica that doesn't lead any more.
@@ -55,6 +62,16 @@
     }
 }
 
+/// Returns the replicas heard lately, where this process has run long enough to tell.
+fn present(shared: &Shared) -> Option<Vec<KeeperId>> {
+    let now = shared.now();
+    let state = shared.state();
+    let heard = state.peers.values();
+    let heard = heard.filter(|peer| peer.direct.is_some_and(|at| at.until(now) < GONE));
+    let present = heard.filter_map(|peer| peer.member.keeper).collect();
+    (Span(now.0) > GONE).then_some(present)
+}
+
 /// Closes a lease once all its witnesses take no further mark.
 async fn close(shared: &Shared, group: &Group, ended: Ended) {
     let mut most: BTreeMap<String, u64> = BTreeMap::new();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -110,6 +110,11 @@
     pub sent: Vec<Sent>,
     /// Who leads the group.
     pub leader: Option<SocketAddr>,
+    /// The replica that leads, as the replica here says; its process may not be known
+    /// yet.
+    pub heading: Option<KeeperId>,
+    /// Who leads the group as the last peer said that knew.
+    pub told: Option<SocketAddr>,
     /// Whether the replica here belongs to the group.
     pub joined: bool,
     /// The replica that the arbiter named to form the group.
@@ -197,6 +202,8 @@
             peers: Map::default(),
             sent: Vec::new(),
             leader: None,
+            heading: None,
+            told: None,
             joined: false,
             founder: None,
             seeds: settings.seeds.clone(),
@@ -248,6 +255,17 @@
             .find(|said| engine_key(said) == key)
     }
 
+    /// Finds the process of the replica that leads, where it has become known.
+    pub fn find_leader(&mut self, own: &Member) {
+        if self.heading.is_some() && self.heading == own.keeper {
+            self.leader = Some(own.address);
+            return;
+        }
+        let mut peers = self.peers.values();
+        let found = peers.find(|peer| self.heading.is_some() && peer.member.keeper == self.heading);
+        self.leader = found.map(|peer| peer.member.address);
+    }
+
     /// Returns the number of entries that take callers, this one among them.
     #[must_use]
     pub fn entries(&self, now: Time) -> usize {
--- /dev/null
+++ b/crates/gateway/tests/leader.rs
@@ -0,0 +1,54 @@
+//! Which process leads, while processes become known.
+
+use std::net::SocketAddr;
+
+use base::KeeperId;
+use base::Time;
+use fleet::mesh::Member;
+use gateway::state::Peer;
+use gateway::state::State;
+use platform::settings::NodeSettings;
+
+fn member(port: u16, keeper: u32) -> Member {
+    Member {
+        run: 1,
+        address: SocketAddr::from(([10, 0, 0, 1], port)),
+        keeper: Some(KeeperId(keeper)),
+        disk: keeper.into(),
+        domain: "a".to_owned(),
+        founding: false,
+    }
+}
+
+/// A process has just started: its replica hears the leader before the process has met
+/// any other.
+#[test]
+fn a_leader_heard_before_its_process_is_found_later() {
+    let text = "node_name = \"x\"\nip = \"10.0.0.1\"\nzone = \"a\"\nport_range = [1,1]\n";
+    let settings: NodeSettings = toml::from_str(text).expect("settings");
+    let mut state = State::new(&settings, 1);
+    let own = member(1, 1);
+    state.heading = Some(KeeperId(2));
+    state.find_leader(&own);
+    assert_eq!(state.leader, None, "its process isn't known yet");
+    let peer = Peer {
+        member: member(2, 2),
+        heard: Time(1),
+        direct: None,
+        version: 0,
+        serving: false,
+        lease: 0,
+        pending: Vec::new(),
+        greeted: false,
+        telling: None,
+    };
+    state.peers.insert(peer.member.address, peer.clone());
+    state.find_leader(&own);
+    assert_eq!(state.leader, Some(peer.member.address));
+    state.heading = Some(KeeperId(1));
+    state.find_leader(&own);
+    assert_eq!(state.leader, Some(own.address), "it leads itself");
+    state.heading = None;
+    state.find_leader(&own);
+    assert_eq!(state.leader, None);
+}
