--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -355,7 +355,7 @@
         peer.serving = update.serving && !update.leaving;
         peer.lease = update.lease;
     }
-    state.told = update.leader.or(state.told);
+    state.told_leader = update.leader.or(state.told_leader);
     let own = shared.group.is_some() && state.joined;
     if !own && update.leader.is_some() {
         state.leader = update.leader;
@@ -525,7 +525,7 @@
 fn sweep(shared: &Shared, now: Time) {
     let mut state = shared.state();
     let state = &mut *state;
-    if state.leader.is_none() && state.heading.is_some() {
+    if state.leader.is_none() && state.leading.is_some() {
         state.find_leader(&shared.own);
     }
     state.sent.clear();
@@ -651,9 +651,9 @@
     loop {
         Timer::after(JOIN_EVERY).await;
         let now = shared.now();
-        let (joined, leader, told) = {
+        let (joined, leader, told_leader) = {
             let state = shared.state();
-            (state.joined, state.leader, state.told)
+            (state.joined, state.leader, state.told_leader)
         };
         alone = alone.or(Some(now)).filter(|_| leader.is_none());
         let ask = Ask::Join(group.id(), group.disk(), shared.own.address);
@@ -662,7 +662,7 @@
             let _ = lead(&shared, &ask, LEADER_WAIT).await;
         } else if joined
             && alone.is_some_and(|since| since.until(now) > ALONE)
-            && let Some(leader) = told
+            && let Some(leader) = told_leader
         {
             log::info!("group: event=join leader={leader} reason=\"no leader is heard\"");
             let _ = peer(&shared, leader, ask, LEADER_WAIT).await;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -246,7 +246,7 @@
             }
             Output::Leader(leader) => {
                 let mut state = shared.state();
-                state.heading = leader;
+                state.leading = leader;
                 state.find_leader(&shared.own);
                 drop(state);
                 shared.news.notify(usize::MAX);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -112,9 +112,9 @@
     pub leader: Option<SocketAddr>,
     /// The replica that leads, as the replica here says; its process may not be known
     /// yet.
-    pub heading: Option<KeeperId>,
+    pub leading: Option<KeeperId>,
     /// Who leads the group as the last peer said that knew.
-    pub told: Option<SocketAddr>,
+    pub told_leader: Option<SocketAddr>,
     /// Whether the replica here belongs to the group.
     pub joined: bool,
     /// The replica that the arbiter named to form the group.
@@ -202,8 +202,8 @@
             peers: Map::default(),
             sent: Vec::new(),
             leader: None,
-            heading: None,
-            told: None,
+            leading: None,
+            told_leader: None,
             joined: false,
             founder: None,
             seeds: settings.seeds.clone(),
@@ -257,12 +257,12 @@
 
     /// Finds the process of the replica that leads, where it has become known.
     pub fn find_leader(&mut self, own: &Member) {
-        if self.heading.is_some() && self.heading == own.keeper {
+        if self.leading.is_some() && self.leading == own.keeper {
             self.leader = Some(own.address);
             return;
         }
         let mut peers = self.peers.values();
-        let found = peers.find(|peer| self.heading.is_some() && peer.member.keeper == self.heading);
+        let found = peers.find(|peer| self.leading.is_some() && peer.member.keeper == self.leading);
         self.leader = found.map(|peer| peer.member.address);
     }
 
--- a/crates/gateway/tests/leader.rs
+++ b/crates/gateway/tests/leader.rs
@@ -1,12 +1,16 @@
 //! Which process leads, while processes become known.
 
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::net::SocketAddrV4;
 
 use base::KeeperId;
 use base::Time;
 use fleet::mesh::Member;
 use gateway::state::Peer;
 use gateway::state::State;
+use platform::outside;
+use platform::outside::Node;
 use platform::settings::NodeSettings;
 
 fn member(port: u16, keeper: u32) -> Member {
@@ -24,11 +28,22 @@
 /// any other.
 #[test]
 fn a_leader_heard_before_its_process_is_found_later() {
-    let text = "node_name = \"x\"\nip = \"10.0.0.1\"\nzone = \"a\"\nport_range = [1,1]\n";
-    let settings: NodeSettings = toml::from_str(text).expect("settings");
+    let address = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), 1);
+    let text = outside::settings(&Node {
+        name: "x",
+        domain: "a",
+        callers: address,
+        ready: address,
+        control: address,
+        port: 1,
+        seeds: &[],
+        first_start: false,
+        data: None,
+    });
+    let settings: NodeSettings = toml::from_str(&text).expect("settings");
     let mut state = State::new(&settings, 1);
     let own = member(1, 1);
-    state.heading = Some(KeeperId(2));
+    state.leading = Some(KeeperId(2));
     state.find_leader(&own);
     assert_eq!(state.leader, None, "its process isn't known yet");
     let peer = Peer {
@@ -45,10 +60,10 @@
     state.peers.insert(peer.member.address, peer.clone());
     state.find_leader(&own);
     assert_eq!(state.leader, Some(peer.member.address));
-    state.heading = Some(KeeperId(1));
+    state.leading = Some(KeeperId(1));
     state.find_leader(&own);
     assert_eq!(state.leader, Some(own.address), "it leads itself");
-    state.heading = None;
+    state.leading = None;
     state.find_leader(&own);
     assert_eq!(state.leader, None);
 }
--- a/crates/ledger/src/grants.rs
+++ b/crates/ledger/src/grants.rs
@@ -98,7 +98,7 @@
     /// A grant must come first.
     Ungranted,
     /// A witness must know first that more is opened.
-    Sealed,
+    Unopened,
     /// No witness answers that could know it.
     Unwitnessed,
     /// Other entries hold what is left.
@@ -260,7 +260,7 @@
             return Err(if unwitnessed {
                 Short::Unwitnessed
             } else {
-                Short::Sealed
+                Short::Unopened
             });
         }
         if held.rest() >= amount {
--- a/crates/ledger/tests/grants.rs
+++ b/crates/ledger/tests/grants.rs
@@ -43,7 +43,7 @@
 /// Charges a request, which waits where a mark must come first.
 fn charge(grants: &mut Grants, amount: u64, now: Time) -> Result<(), Short> {
     match grants.charge(TEAM, amount, now) {
-        Err(Short::Sealed) => {
+        Err(Short::Unopened) => {
             open(grants, now);
             grants.charge(TEAM, amount, now)
         }
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -13,7 +13,7 @@
 use http::write::HeadWriter;
 use platform::outside;
 use platform::outside::Asked;
-use platform::outside::Line;
+use platform::outside::Route;
 
 use crate::engine;
 use crate::oracle::EVENT_TOKENS;
@@ -28,18 +28,18 @@
 pub const TEAMS: [(&str, u64); 2] = [("large", 10_000_000), ("small", 1_500)];
 
 /// Routes: resumable streams, calls that may run once, and calls that may be repeated.
-pub const ROUTES: [Line<'_>; 3] = [
-    Line {
+pub const ROUTES: [Route<'_>; 3] = [
+    Route {
         name: "talk",
         streams: true,
         repeats: true,
     },
-    Line {
+    Route {
         name: "book",
         streams: false,
         repeats: false,
     },
-    Line {
+    Route {
         name: "list",
         streams: false,
         repeats: true,
@@ -103,7 +103,7 @@
 }
 
 /// Sends one request; returns how it ended and whether the connection can go on.
-fn ask(conn: &mut Conn, id: &str, route: &Line<'_>, team: &str, oracle: &Oracle) -> (Ended, bool) {
+fn ask(conn: &mut Conn, id: &str, route: &Route<'_>, team: &str, oracle: &Oracle) -> (Ended, bool) {
     let mut out = Vec::new();
     let tokens = if route.streams {
         (PROMPT, engine::EVENTS * EVENT_TOKENS)
--- a/crates/soak/src/engine.rs
+++ b/crates/soak/src/engine.rs
@@ -13,8 +13,8 @@
 use http::write::chunk;
 use http::write::last_chunk;
 use platform::outside;
-use platform::outside::Line;
 use platform::outside::Received;
+use platform::outside::Route;
 
 use crate::oracle::Oracle;
 use crate::wire::Conn;
@@ -54,7 +54,7 @@
     /// Fails where no port can be bound.
     pub fn spawn(
         id: String,
-        route: &Line<'_>,
+        route: &Route<'_>,
         faulty: bool,
         oracle: &Arc<Oracle>,
     ) -> io::Result<Self> {
