Share seven tenths of a scarce total, so that a lost disk leaves more

Ruled out: leases that nobody closes (all were), and the group (a leader after 0.6 s).

Change: three tenths of what is unspent stay with the ledger where it is scarce.

--- a/crates/ledger/src/allowance.rs
+++ b/crates/ledger/src/allowance.rs
@@ -20,9 +20,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// Part of what is unspent that leases share by demand where it is scarce; the rest
-/// is for requests that are short at entries that have just started.
-const SHARED_PART: (u64, u64) = (9, 10);
+/// Part of what is unspent that leases share by demand where it is scarce. The rest is
+/// for requests that are short, and outlasts the loss of a disk that most leases may
+/// have marks on.
+const SHARED_PART: (u64, u64) = (7, 10);
 
 /// Log time after which a silent lease is closed, in milliseconds. Longer than any
 /// partition that an entry should survive with its grants.
