Replace all records of a request, not only one keeper's

The process did not stop: the reactor that the debugger shows without a timeout is a second one that only the HTTP library uses, and the pool's own reactor sleeps on a timer descriptor, so that its wait has no timeout either. strace showed one request that was asked again and again and answered "outcome unknown". A request's two keepers can hold different records of orders that never arrived, because an entry was killed or a message was lost between the two. An entry replaced the record that it had joined last, at both keepers; that replaced one of them, and left its own new record at the other, which the next attempt joined, revoked and excluded in turn.

Then every endpoint was excluded, and the request waited for a present but excluded endpoint until its deadline of a minute, as if it were saturated.

Ruled out: a lost wakeup in the pool, the executor or the reactor (all timers of the process ran on, 95% of a core).

Change: a request remembers all nonces that it knows to have ended, and its own, and replaces any of them at each keeper. Endpoints that a request excludes don't count as saturated.

--- a/crates/daemon/src/entry/execution.rs
+++ b/crates/daemon/src/entry/execution.rs
@@ -98,7 +98,8 @@
 #[derive(Default)]
 struct AttemptState {
     excluded_endpoints: Vec<EndpointId>,
-    record_nonce: Option<u64>,
+    /// Nonces of records whose orders have ended, and of this request's own record.
+    record_nonces: Vec<u64>,
     joins: u32,
     prompt_tokens: Tokens,
     reservation: Option<Reservation>,
@@ -237,7 +238,7 @@
     {
         return finish_unknown();
     }
-    if !job.answer.has_key || state.record_nonce.is_some() {
+    if !job.answer.has_key || !state.record_nonces.is_empty() {
         return finish_not_run(reason);
     }
     if job.repeatable {
@@ -394,10 +395,11 @@
         address: endpoint.address,
         nonce: fastrand::u64(1..),
     };
-    if let Some(earlier) = records::insert_record(entry, record, state.record_nonce).await {
+    // One keeper may store the record although another one has an earlier order's.
+    state.record_nonces.push(record.nonce);
+    if let Some(earlier) = records::insert_record(entry, record, &state.record_nonces).await {
         return join_recorded(entry, job, state, retry_state, assembly, &earlier).await;
     }
-    state.record_nonce = Some(record.nonce);
     let result = send_order(entry, job, state, retry_state, assembly, endpoint).await;
     if matches!(
         result,
@@ -440,7 +442,7 @@
         }
         _ if state.joins < MAX_JOINS => {
             state.joins += 1;
-            state.record_nonce = Some(record.nonce);
+            state.record_nonces.push(record.nonce);
             state.excluded_endpoints.push(record.agent.endpoint);
             AttemptResult::Retry
         }
--- a/crates/daemon/src/entry/execution/records.rs
+++ b/crates/daemon/src/entry/execution/records.rs
@@ -4,6 +4,7 @@
 
 use base::KeeperId;
 use base::RequestId;
+use fleet::Node;
 use fleet::PeerRequest;
 use fleet::PeerResponse;
 use request::InsertResult;
@@ -23,28 +24,50 @@
     peers.map(|peer| peer.address).collect()
 }
 
-/// Records where the request is sent; returns the existing record if it runs already.
-pub(super) async fn insert_record(
-    entry: &Entry,
-    record: Record,
-    replaced_nonce: Option<u64>,
-) -> Option<Record> {
+/// Records where the request is sent; returns an existing record of an order that may
+/// still run.
+///
+/// Records with one of the `ended` nonces are replaced. The keepers' records can differ: an
+/// entry may have been killed, or a message lost, after one keeper had stored its record.
+pub(super) async fn insert_record(entry: &Entry, record: Record, ended: &[u64]) -> Option<Record> {
     let mut tasks = Vec::new();
     for address in record_addresses(entry, record.request) {
         let node = entry.node.clone();
-        let message = PeerRequest::Enrol(record, replaced_nonce);
-        let task = async move { node.request(address, message, RECORD_TIMEOUT).await };
+        let ended = ended.to_vec();
+        let task = async move { insert_at_keeper(&node, address, record, &ended).await };
         tasks.push(entry.context.pool.spawn_with_handle(task));
     }
     let mut existing = None;
     for task in tasks {
-        if let Ok(PeerResponse::Enrolled(InsertResult::Exists(earlier))) = task.await {
-            existing = Some(earlier);
-        }
+        existing = task.await.or(existing);
     }
     existing
 }
 
+/// Stores `record` at one keeper; returns the record that it keeps instead.
+async fn insert_at_keeper(
+    node: &Node,
+    address: SocketAddr,
+    record: Record,
+    ended: &[u64],
+) -> Option<Record> {
+    let mut replaced = None;
+    loop {
+        let message = PeerRequest::Enrol(record, replaced);
+        match node.request(address, message, RECORD_TIMEOUT).await {
+            Ok(PeerResponse::Enrolled(InsertResult::Exists(earlier))) => {
+                let is_ended = ended.contains(&earlier.nonce);
+                if !is_ended || replaced == Some(earlier.nonce) {
+                    return Some(earlier);
+                }
+                replaced = Some(earlier.nonce);
+            }
+            // Without a response the request is sent with the records of the other keepers.
+            _ => return None,
+        }
+    }
+}
+
 pub(super) async fn remove_record(entry: &Entry, request: RequestId, nonce: u64) {
     for address in record_addresses(entry, request) {
         let message = PeerRequest::Unenrol(request, nonce);
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::net::UdpSocket;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -126,6 +127,21 @@
     ///
     /// Fails if the credentials, the data folder or an address can't be used.
     pub fn spawn(pool: &Pool, settings: &Settings) -> Result<Self, StartError> {
+        let socket = UdpSocket::bind(settings.listen_address).map_err(FleetError::from)?;
+        Self::spawn_on(pool, settings, socket)
+    }
+
+    /// Starts the roles of `settings` like [`Self::spawn`]. Peers are served on `socket`,
+    /// which is already bound.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the credentials, the data folder, the socket or an address can't be used.
+    pub fn spawn_on(
+        pool: &Pool,
+        settings: &Settings,
+        socket: UdpSocket,
+    ) -> Result<Self, StartError> {
         let clock = Clock::start();
         let credentials = TlsCredentials::load(&settings.keys_folder, &settings.name)?;
         let (sender, receiver) = async_channel::bounded(1);
@@ -155,9 +171,9 @@
             agent: agent.clone(),
             keeper: keeper.clone(),
         };
-        let node = Node::bind(
+        let node = Node::bind_socket(
             pool,
-            settings.listen_address,
+            socket,
             &credentials,
             roles.service(),
             fleet::node::MAX_FRAME_STREAMS,
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -192,6 +192,21 @@
         max_streams: u32,
     ) -> Result<Self, FleetError> {
         let socket = UdpSocket::bind(address)?;
+        Self::bind_socket(pool, socket, credentials, service, max_streams)
+    }
+
+    /// Serves peers like [`Self::bind`], on a socket that is already bound.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the socket can't be used or the credentials are invalid.
+    pub fn bind_socket(
+        pool: &Pool,
+        socket: UdpSocket,
+        credentials: &TlsCredentials,
+        service: Service,
+        max_streams: u32,
+    ) -> Result<Self, FleetError> {
         let address = socket.local_addr()?;
         let mut endpoint = quinn::Endpoint::new(
             quinn::EndpointConfig::default(),
--- a/crates/mulberryctl/src/site.rs
+++ b/crates/mulberryctl/src/site.rs
@@ -127,15 +127,11 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
-/// Returns `count` different loopback addresses whose ports are free.
-///
-/// All sockets stay bound until the last one is, so no port comes twice.
-fn free_addresses(count: usize) -> Result<Vec<SocketAddr>> {
+/// Returns `count` loopback sockets, bound to ports that the system picks.
+fn bind_sockets(count: usize) -> Result<Vec<UdpSocket>> {
     let sockets: std::io::Result<Vec<UdpSocket>> =
         (0..count).map(|_| UdpSocket::bind(loopback())).collect();
-    let addresses: std::io::Result<Vec<SocketAddr>> =
-        sockets?.iter().map(UdpSocket::local_addr).collect();
-    Ok(addresses?)
+    Ok(sockets?)
 }
 
 /// Returns the name of team `n`.
@@ -242,7 +238,12 @@
         fs::create_dir_all(&keys)?;
         fleet::credentials::create_authority(&keys)?;
         fleet::credentials::issue_certificate(&keys, "operator")?;
-        let addresses = free_addresses(layout.domains)?;
+        // Keepers know each other's address before they start, and another process could
+        // take a port that is free for a moment. They start on these sockets.
+        let sockets = bind_sockets(layout.domains)?;
+        let addresses: std::io::Result<Vec<SocketAddr>> =
+            sockets.iter().map(UdpSocket::local_addr).collect();
+        let addresses = addresses?;
         let peers: Vec<KeeperPeer> = addresses
             .iter()
             .zip(1..)
@@ -266,7 +267,7 @@
             operator,
             settings: BTreeMap::new(),
         };
-        site.start_keepers()?;
+        site.start_keepers(sockets)?;
         site.start_endpoints(layout)?;
         site.submit_initial_document(layout).await?;
         site.start_entries(layout)?;
@@ -291,8 +292,9 @@
         }
     }
 
-    /// Issues a certificate where there is none and starts the process.
-    fn spawn_process(&mut self, settings: Settings) -> Result<Process> {
+    /// Issues a certificate where there is none and starts the process, on `socket` if it
+    /// is already bound.
+    fn spawn_process(&mut self, settings: Settings, socket: Option<UdpSocket>) -> Result<Process> {
         let keys = &settings.keys_folder;
         if !keys.join(format!("{}.pem", settings.name)).exists() {
             fleet::credentials::issue_certificate(keys, &settings.name)?;
@@ -304,13 +306,17 @@
         } else {
             &self.pools.others
         };
-        let process = Process::spawn(pool, &settings)?;
+        let process = match socket {
+            Some(socket) => Process::spawn_on(pool, &settings, socket)?,
+            None => Process::spawn(pool, &settings)?,
+        };
         self.settings.insert(settings.name.clone(), settings);
         Ok(process)
     }
 
-    fn start_keepers(&mut self) -> Result<()> {
-        for (domain, peer) in self.peers.clone().into_iter().enumerate() {
+    fn start_keepers(&mut self, sockets: Vec<UdpSocket>) -> Result<()> {
+        let peers = self.peers.clone();
+        for (domain, (peer, socket)) in peers.into_iter().zip(sockets).enumerate() {
             let mut settings = self.common_settings(&format!("keeper-{domain}"), domain);
             settings.listen_address = peer.address;
             settings.keeper = Some(KeeperSettings {
@@ -320,7 +326,7 @@
                 forms_group: true,
                 identities: BTreeMap::new(),
             });
-            let process = self.spawn_process(settings)?;
+            let process = self.spawn_process(settings, Some(socket))?;
             self.keepers.push(process);
         }
         Ok(())
@@ -374,7 +380,7 @@
             kind,
             stall_ms: 1_000,
         });
-        let process = self.spawn_process(settings)?;
+        let process = self.spawn_process(settings, None)?;
         self.agents.push(process);
         Ok(())
     }
@@ -385,7 +391,7 @@
             settings.entry = Some(EntrySettings {
                 caller_address: loopback(),
             });
-            let process = self.spawn_process(settings)?;
+            let process = self.spawn_process(settings, None)?;
             self.entries.push(process);
         }
         Ok(())
--- a/crates/mulberryctl/tests/failures.rs
+++ b/crates/mulberryctl/tests/failures.rs
@@ -6,8 +6,13 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use base::KeeperId;
 use base::RequestId;
+use base::Span;
 use base::TeamId;
+use daemon::entry::execution::request_digest;
+use fleet::PeerRequest;
+use fleet::PeerResponse;
 use futures_lite::AsyncReadExt as _;
 use futures_lite::future::block_on;
 use host::Pool;
@@ -18,6 +23,10 @@
 use mulberryctl::site::LocalSite;
 use mulberryctl::site::MODEL_NAME;
 use mulberryctl::site::team_name;
+use request::InsertResult;
+use request::Record;
+use request::records::record_keepers;
+use serde_json::json;
 use standin::EngineProfile;
 use standin::Faults;
 
@@ -146,6 +155,50 @@
     });
 }
 
+/// A killed entry and a retry under load can leave different records of one request at its
+/// two keepers, both of orders that never arrived. The next retry must replace both.
+#[test]
+fn different_records_of_a_request_at_its_keepers_are_replaced() {
+    let pool = Pool::start(4);
+    block_on(async {
+        let site = site(&pool, "records", &layout()).await;
+        let key = "differs";
+        let body = json!({
+            "model": MODEL_NAME,
+            "messages": client::messages(&prompt(0)),
+            "max_tokens": MAX_ANSWER_TOKENS,
+            "stream": true,
+        });
+        let request = RequestId::of(TeamId::from_name(&team_name(0)), key);
+        let ids: Vec<KeeperId> = site.peers.iter().map(|peer| peer.id).collect();
+        for (index, keeper) in record_keepers(request, &ids).into_iter().enumerate() {
+            let agent = &site.agents[index];
+            let record = Record {
+                request,
+                digest: request_digest("/v1/chat/completions", body.to_string().as_bytes()),
+                attempt: 1,
+                agent: agent.agent.as_ref().unwrap().state().id(),
+                address: agent.node.address(),
+                nonce: 1 + index as u64,
+            };
+            let peer = site.peers.iter().find(|peer| peer.id == keeper).unwrap();
+            let message = PeerRequest::Enrol(record, None);
+            let response = site
+                .operator
+                .request(peer.address, message, Span::secs(5))
+                .await;
+            assert_eq!(
+                response.unwrap(),
+                PeerResponse::Enrolled(InsertResult::Stored)
+            );
+        }
+        let outcome = chat(&site, 1, 0, key).await;
+        let completed = matches!(&outcome, Outcome::Completed { text, .. } if *text == expected(0));
+        assert!(completed, "{outcome:?}");
+        assert_eq!(engine_runs(&site, key), 1);
+    });
+}
+
 #[test]
 fn requests_of_a_killed_agent_are_answered_by_other_agents() {
     let pool = Pool::start(4);
--- a/crates/routing/src/endpoint_table.rs
+++ b/crates/routing/src/endpoint_table.rs
@@ -381,7 +381,9 @@
         };
         for &slot in slots[start..].iter().chain(&slots[..start]) {
             let endpoint = &self.endpoints[slot.index()];
-            present |= endpoint.is_present && now.since(endpoint.last_seen) < REPORT_TIMEOUT;
+            present |= endpoint.is_present
+                && now.since(endpoint.last_seen) < REPORT_TIMEOUT
+                && !query.excluded_endpoints.contains(&endpoint.info.id);
             if self.is_eligible(slot, query, now) {
                 return EndpointChoice::Endpoint(slot, false);
             }
