Bound what engines and callers may send without end

Cause: the gateway has one worker, and a read that finds bytes at once doesn't yield. A peer that sends faster than it is read held the worker, so that no timeout was checked and no other request served. An event without an end, interim responses, blank lines and comments of a stream had no bound.

Change: a connection yields after 16 reads without a wait; 16 interim responses, and 256 KiB of one event or without an event. Comments don't count as events, so they are no longer charged.

Nothing without end reaches a caller as a complete answer.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -10,7 +10,6 @@
 use fleet::mesh::MeshRequest;
 use fleet::mesh::MeshResponse;
 use futures_lite::FutureExt as _;
-use ledger::Grants;
 use ledger::allowance::Lease;
 
 use crate::mesh::LEADER_TIMEOUT;
@@ -91,7 +90,7 @@
         MeshResponse::Granted(None) if state.grants.lease_id() == lease => {
             let fresh = fastrand::u64(1..);
             log::warn!("budget: event=lease_ended lease={lease:x} next={fresh:x}");
-            state.grants = Grants::new(fresh, shared.holder_id());
+            state.grants = shared.new_grants(fresh);
         }
         MeshResponse::Granted(None) => {}
         _ => {
--- a/crates/gateway/src/conn.rs
+++ b/crates/gateway/src/conn.rs
@@ -20,6 +20,10 @@
 /// long bodies in several kilobytes.
 const READ_BUFFER_BYTES: usize = 8 << 10;
 
+/// Number of reads without waiting after which a task lets others run: a peer that sends
+/// faster than it is read would otherwise hold the worker, and no timeout would be checked.
+const MAX_EAGER_READS: u32 = 16;
+
 /// Time without a TCP acknowledgement after which a connection is considered broken:
 /// several round trips between regions, well below the shortest request timeout.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(900);
@@ -33,6 +37,8 @@
     stream: Async<TcpStream>,
     /// Received bytes that aren't consumed yet.
     pub buf: Vec<u8>,
+    /// Number of reads since the last wait.
+    eager_reads: u32,
 }
 
 impl Conn {
@@ -46,6 +52,7 @@
         Self {
             stream,
             buf: Vec::new(),
+            eager_reads: 0,
         }
     }
 
@@ -71,9 +78,15 @@
     ///
     /// Fails if the connection breaks.
     pub async fn fill(&mut self) -> io::Result<usize> {
+        if self.eager_reads >= MAX_EAGER_READS {
+            self.eager_reads = 0;
+            futures_lite::future::yield_now().await;
+        }
+        self.eager_reads += 1;
         loop {
             match self.try_read() {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    self.eager_reads = 0;
                     self.stream.readable().await?;
                 }
                 result => return result,
--- a/crates/gateway/src/forwarding/response.rs
+++ b/crates/gateway/src/forwarding/response.rs
@@ -20,6 +20,12 @@
 /// Maximum length of the head of an engine's response, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
+/// Maximum number of interim responses (status 1xx) before a response.
+const MAX_INTERIM_RESPONSES: usize = 16;
+
+/// Maximum length of one event, and of what isn't an event between two of them, in bytes.
+const MAX_EVENT_BYTES: usize = 256 << 10;
+
 /// Maximum length of a response body that is buffered until it's complete, in bytes.
 const MAX_BUFFERED_BYTES: usize = 512 << 10;
 
@@ -32,6 +38,7 @@
         sent_at: Time,
         caller: &Conn,
     ) -> AttemptOutcome {
+        let mut interim_responses = 0;
         let head = loop {
             match ResponseHead::parse(&conn.buf, MAX_HEAD_BYTES, &self.request.head.method) {
                 Ok(Some((head, length))) => {
@@ -39,6 +46,10 @@
                     if head.status >= 200 {
                         break head;
                     }
+                    interim_responses += 1;
+                    if interim_responses > MAX_INTERIM_RESPONSES {
+                        return AttemptOutcome::Failed;
+                    }
                     continue;
                 }
                 Ok(None) => {}
@@ -114,6 +125,7 @@
         let mut decoder = BodyDecoder::new(head.framing);
         let mut events = Vec::new();
         let mut out = Vec::new();
+        let mut empty_bytes = 0;
         loop {
             match decoder.decode(&conn.buf, &mut events) {
                 Ok(consumed) => conn.consume(consumed),
@@ -131,6 +143,11 @@
                 }
                 let (count, last_id) = event_stream::count_and_last_id(&events[..complete_len]);
                 self.event_count += count as u64;
+                empty_bytes = if count > 0 {
+                    0
+                } else {
+                    empty_bytes + complete_len
+                };
                 self.update_charge(true);
                 if let Some(id) = last_id {
                     self.last_event = Some(id.to_owned());
@@ -148,6 +165,9 @@
                     Err(_) => AttemptOutcome::Aborted,
                 };
             }
+            if events.len().max(empty_bytes) > MAX_EVENT_BYTES {
+                return self.stream_failure();
+            }
             if !out.is_empty() {
                 if caller.write_all(&out).await.is_err() {
                     return AttemptOutcome::Aborted;
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -34,6 +34,7 @@
 use ledger::allowance::EndedLease;
 use ledger::allowance::HighWaterMark;
 use ledger::allowance::Lease;
+use ledger::quorum;
 use store::DataFolder;
 use store::JournalOptions;
 use thiserror::Error;
@@ -41,6 +42,7 @@
 use crate::replicated_state::Command;
 use crate::replicated_state::Outcome;
 use crate::replicated_state::ReplicatedState;
+use crate::state::holder_id;
 use crate::witness_log::WitnessLog;
 
 /// Time between two ticks. An election then takes half a second to a second, which an
@@ -500,8 +502,8 @@
         }
     }
 
-    /// Sends the leases to close by their witnesses' marks. Leases with a witness whose
-    /// disk is lost are closed immediately, and all that they hold counts as spent.
+    /// Sends the leases to close, each with the witnesses whose marks settle it. Leases with
+    /// too many lost disks are closed immediately, and all that they hold counts as spent.
     fn list_ended_leases(&mut self, live: Option<&[u64]>, reply: &Sender<Vec<EndedLease>>) {
         if self.local.replica.role() != Role::Leader {
             return;
@@ -509,25 +511,40 @@
         let now = self.base_ms + duration_ms(self.started_at.elapsed());
         let before = live.map_or(0, |_| now.saturating_sub(duration_ms(HOLDER_TIMEOUT)));
         let allowances = &self.local.state.allowances;
-        let mut ended = allowances.ended_leases(before, live.unwrap_or_default());
+        let ended = allowances.ended_leases(before, live.unwrap_or_default());
         let members = self.local.replica.members().clone();
-        let lost = |id: &KeeperId| members.disk(*id).is_none();
-        ended.retain(|ended| {
-            let known = !ended.witnesses.is_empty() && !ended.witnesses.iter().any(lost);
-            if !known {
-                let lease = ended.lease;
-                log::warn!(
-                    "budget: event=lease_unsettled lease={lease:x} outcome=spent witnesses={:?} reason=\"a witness's disk is lost\"",
-                    ended.witnesses
-                );
-                let (reply, _) = async_channel::bounded(1);
-                let opened = None;
-                self.propose(&Command::CloseLease { lease, opened }, reply);
+        let mut settling = Vec::new();
+        for mut ended in ended {
+            let own = self.own_replica(ended.holder);
+            let is_lost = |id: KeeperId| members.disk(id).is_none();
+            match quorum::settling_witnesses(own, &ended.witnesses, is_lost) {
+                Some(witnesses) if !ended.witnesses.is_empty() => {
+                    ended.witnesses = witnesses;
+                    settling.push(ended);
+                }
+                _ => self.close_unproven(&ended),
             }
-            known
-        });
+        }
         // The receiver may have been dropped.
-        let _ = reply.try_send(ended);
+        let _ = reply.try_send(settling);
+    }
+
+    /// Returns the replica on the disk of the process that `holder` identifies.
+    fn own_replica(&self, holder: u64) -> Option<KeeperId> {
+        let mut known = self.local.state.replica_addresses.iter();
+        let found = known.find(|(address, _)| holder_id(**address) == holder);
+        found.map(|(_, &replica)| replica)
+    }
+
+    fn close_unproven(&mut self, ended: &EndedLease) {
+        let lease = ended.lease;
+        log::warn!(
+            "budget: event=lease_unsettled lease={lease:x} outcome=spent witnesses={:?} reason=\"too many of the witnesses' disks are lost\"",
+            ended.witnesses
+        );
+        let (reply, _) = async_channel::bounded(1);
+        let opened = None;
+        self.propose(&Command::CloseLease { lease, opened }, reply);
     }
 
     fn form_group(&mut self) {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -96,10 +96,8 @@
     pub connections: ConnectionPool,
     /// The grants of teams' tokens.
     pub grants: Grants,
-    /// The replica that recorded the last mark.
-    pub last_witness: Option<KeeperId>,
-    /// Time of the last mark that no witness recorded.
-    pub mark_failure: Option<Time>,
+    /// Time of the last mark that the local disk didn't record in time.
+    pub disk_failure: Option<Time>,
     /// Whether the ledger answered the last draw.
     pub ledger_reachable: bool,
     /// The shared budget for retries.
@@ -174,17 +172,19 @@
     ))
 }
 
-/// Returns the holder identifier of a process. It depends only on the address, so that a
-/// process that restarts there has the same one.
-fn holder_id(own: &Member) -> u64 {
+/// Returns the holder identifier of the process at `address`. A process that restarts there
+/// has the same one.
+#[must_use]
+pub fn holder_id(address: SocketAddr) -> u64 {
     use std::hash::BuildHasher as _;
-    base::hash::hasher().hash_one(own.address)
+    base::hash::hasher().hash_one(address)
 }
 
 impl ProcessState {
     /// Returns the state of a process at its start.
     #[must_use]
-    pub fn new(settings: &NodeSettings, holder: u64) -> Self {
+    pub fn new(settings: &NodeSettings, own: &Member) -> Self {
+        let holder = holder_id(own.address);
         let bounds = &settings.bounds;
         let window = Span::millis(seconds_to_ms(bounds.retry_window_s));
         Self {
@@ -194,9 +194,8 @@
             directory: Directory::default(),
             engine_pools: Map::default(),
             connections: ConnectionPool::default(),
-            grants: Grants::new(fastrand::u64(1..), holder),
-            last_witness: None,
-            mark_failure: None,
+            grants: Grants::with_own_witness(fastrand::u64(1..), holder, own.keeper),
+            disk_failure: None,
             ledger_reachable: true,
             retry_budget: SharedRetryBudget::new(RetryLimits {
                 retry_ratio: bounds.retry_ratio,
@@ -302,7 +301,7 @@
         group: Option<Group>,
         clock: Clock,
     ) -> Self {
-        let state = Mutex::new(ProcessState::new(&settings, holder_id(&own)));
+        let state = Mutex::new(ProcessState::new(&settings, &own));
         Self {
             settings,
             clock,
@@ -327,7 +326,13 @@
     /// Returns the holder identifier of this process's leases on tokens.
     #[must_use]
     pub fn holder_id(&self) -> u64 {
-        holder_id(&self.own_member)
+        holder_id(self.own_member.address)
+    }
+
+    /// Returns the empty grants of this process under a new lease.
+    #[must_use]
+    pub fn new_grants(&self, lease: u64) -> Grants {
+        Grants::with_own_witness(lease, self.holder_id(), self.own_member.keeper)
     }
 
     /// Locks the state.
--- a/crates/gateway/src/witness.rs
+++ b/crates/gateway/src/witness.rs
@@ -1,9 +1,11 @@
 //! Records the high-water marks of what entries open of their grants at replicas, their
 //! witnesses.
 //!
-//! An entry with a disk is its own witness while the disk responds. Other entries record
-//! their marks at any replica that they reach, directly or through a peer.
+//! An entry with a disk records its spend limit there while the disk responds, and a
+//! reserve at other replicas. Other entries record their limits at several replicas, which
+//! they reach directly or through a peer.
 
+use std::hash::BuildHasher as _;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -18,8 +20,8 @@
 use fleet::mesh::MeshRequest;
 use fleet::mesh::MeshResponse;
 use futures_lite::FutureExt as _;
-use ledger::Grants;
 use ledger::allowance::HighWaterMark;
+use ledger::quorum;
 
 use crate::group::Input;
 use crate::group::Reply;
@@ -45,23 +47,28 @@
 /// Maximum wait for the local disk.
 const DISK_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Time after a mark that no witness recorded for which the local disk counts as slow and is
-/// tried only after the remote replicas.
+/// Time after a mark that the local disk didn't record for which it counts as slow and is
+/// no witness.
 const SLOW_DISK_PERIOD: Span = Span::millis(5_000);
 
-/// Maximum number of peers asked to forward a mark to witnesses that can't be reached
+/// Maximum number of peers asked to forward a mark to a replica that can't be reached
 /// directly.
 const MAX_FORWARDERS: usize = 2;
 
-/// A place where a mark can be recorded.
+/// A way to record a mark at a replica.
 #[derive(Clone, Copy, Debug)]
 enum Target {
-    /// The local disk.
-    LocalDisk(KeeperId),
-    /// A replica.
+    /// The replica's process.
     Replica(KeeperId, SocketAddr),
-    /// Any of the replicas, through a peer that forwards the mark.
-    Forwarder(SocketAddr),
+    /// A peer that forwards the mark to the replica.
+    Forwarder(KeeperId, SocketAddr),
+}
+
+impl Target {
+    fn replica(self) -> KeeperId {
+        let (Self::Replica(id, _) | Self::Forwarder(id, _)) = self;
+        id
+    }
 }
 
 /// The result of an attempt to record a mark.
@@ -71,7 +78,7 @@
     Recorded(KeeperId),
     /// The lease is fenced.
     Fenced,
-    /// No witness has answered.
+    /// The replica has not answered.
     Unavailable,
 }
 
@@ -103,18 +110,39 @@
     done.or(expired).await
 }
 
-/// Records another entry's mark at any of `replicas` that this process reaches.
+/// Records another entry's mark at the first of `replicas` that this process reaches.
 pub async fn forward_mark(
     shared: &Arc<ProcessContext>,
     replicas: &[KeeperId],
     mark: HighWaterMark,
 ) -> MeshResponse {
-    let targets = reachable_targets(shared, replicas);
-    match record_at_any(shared, targets, replicas, &mark).await {
-        MarkOutcome::Recorded(replica) => MeshResponse::Marked(replica),
-        MarkOutcome::Fenced => MeshResponse::Fenced,
-        MarkOutcome::Unavailable => MeshResponse::Unavailable,
+    for &replica in replicas {
+        let answer = if shared.own_member.keeper == Some(replica) {
+            record_mark(shared, mark.clone()).await
+        } else if let Some(address) = reachable_replica(shared, replica) {
+            let request = MeshRequest::Mark(mark.clone());
+            let answer = request_peer(shared, address, request, MARK_TIMEOUT).await;
+            answer.unwrap_or(MeshResponse::Unavailable)
+        } else {
+            continue;
+        };
+        match answer {
+            MeshResponse::Done => return MeshResponse::Marked(replica),
+            MeshResponse::Fenced => return MeshResponse::Fenced,
+            _ => {}
+        }
     }
+    MeshResponse::Unavailable
+}
+
+/// Returns the address of a replica's process if it can be reached directly.
+fn reachable_replica(shared: &ProcessContext, replica: KeeperId) -> Option<SocketAddr> {
+    let now = shared.now();
+    let state = shared.state();
+    let mut peers = state.peers.values();
+    let found = peers.find(|peer| peer.member.keeper == Some(replica))?;
+    let heard = found.last_direct?;
+    (heard.until(now) < REACHABLE_TIMEOUT).then_some(found.member.address)
 }
 
 /// Returns the replicas that should witness this entry's marks.
@@ -124,74 +152,59 @@
     state: &ProcessState,
     now: Time,
 ) -> Vec<KeeperId> {
-    let own = shared.own_member.keeper;
-    if let Some(own) = own
-        && !is_disk_slow(state, now)
-    {
-        return vec![own];
-    }
+    let own = shared
+        .own_member
+        .keeper
+        .filter(|_| !is_disk_slow(state, now));
     let others = state.peers.values().filter_map(|peer| peer.member.keeper);
     let mut preferred: Vec<KeeperId> = others.chain(own).collect();
     preferred.sort_unstable();
     preferred
 }
 
-/// Returns whether a mark has failed recently.
+/// Returns whether the local disk has failed to record a mark recently.
 fn is_disk_slow(state: &ProcessState, now: Time) -> bool {
     state
-        .mark_failure
+        .disk_failure
         .is_some_and(|at| at.until(now) < SLOW_DISK_PERIOD)
 }
 
-/// Returns the replicas of `replicas` that can be reached directly: the last witness
-/// first, then those in the same failure domain. The local disk is first, or last if it
-/// is slow.
-fn reachable_targets(shared: &ProcessContext, replicas: &[KeeperId]) -> Vec<Target> {
+/// Returns the ways to record marks at `replicas`, the preferred ones first: each replica
+/// directly, in the same failure domain first, then those that only peers may reach.
+fn mark_targets(shared: &ProcessContext, replicas: &[KeeperId]) -> Vec<Target> {
     let now = shared.now();
-    let state = shared.state();
-    let mut found = Vec::new();
-    for peer in state.peers.values() {
-        let Some(keeper) = peer.member.keeper.filter(|id| replicas.contains(id)) else {
-            continue;
-        };
-        if peer
-            .last_direct
-            .is_some_and(|at| at.until(now) < REACHABLE_TIMEOUT)
-        {
-            let remote = peer.member.domain != shared.own_member.domain;
-            let order = (state.last_witness != Some(keeper), remote, keeper);
-            found.push((order, Target::Replica(keeper, peer.member.address)));
+    let mut direct = Vec::new();
+    {
+        let state = shared.state();
+        for peer in state.peers.values() {
+            let heard = |at: Time| at.until(now) < REACHABLE_TIMEOUT;
+            let Some(replica) = peer.member.keeper.filter(|id| replicas.contains(id)) else {
+                continue;
+            };
+            if peer.last_direct.is_some_and(heard) {
+                let remote = peer.member.domain != shared.own_member.domain;
+                // Entries prefer different ones of the remote replicas.
+                let rank = base::hash::hasher().hash_one((replica, shared.own_member.run_id));
+                direct.push((
+                    (remote, rank),
+                    Target::Replica(replica, peer.member.address),
+                ));
+            }
         }
     }
-    found.sort_unstable_by_key(|(order, _)| *order);
-    let mut targets: Vec<Target> = found.into_iter().map(|(_, target)| target).collect();
-    if let Some(own) = shared.own_member.keeper.filter(|id| replicas.contains(id)) {
-        let index = if is_disk_slow(&state, now) {
-            targets.len()
-        } else {
-            0
-        };
-        targets.insert(index, Target::LocalDisk(own));
-    }
-    targets
-}
-
-/// Returns the targets for this entry's mark, the best one first.
-fn mark_targets(shared: &ProcessContext, replicas: &[KeeperId]) -> Vec<Target> {
-    let mut targets = reachable_targets(shared, replicas);
-    let reached = targets.iter().any(|t| matches!(t, Target::Replica(..)));
-    let only_own = replicas
-        .iter()
-        .all(|id| Some(*id) == shared.own_member.keeper);
-    if !reached && !only_own {
-        let mut peers = reachable_peers(shared);
-        fastrand::shuffle(&mut peers);
-        targets.extend(
-            peers
-                .into_iter()
-                .take(MAX_FORWARDERS)
-                .map(Target::Forwarder),
-        );
+    direct.sort_unstable_by_key(|(order, _)| *order);
+    let mut targets: Vec<Target> = direct.into_iter().map(|(_, target)| target).collect();
+    if targets.len() < quorum::copies(replicas.len()) {
+        let reached: Vec<KeeperId> = targets.iter().map(|target| target.replica()).collect();
+        let peers = reachable_peers(shared);
+        for &replica in replicas.iter().filter(|id| !reached.contains(id)) {
+            let forwarders = fastrand::choose_multiple(&peers, MAX_FORWARDERS);
+            targets.extend(
+                forwarders
+                    .into_iter()
+                    .map(|&address| Target::Forwarder(replica, address)),
+            );
+        }
     }
     targets
 }
@@ -200,76 +213,109 @@
 async fn record_at_target(
     shared: &ProcessContext,
     target: Target,
-    replicas: Vec<KeeperId>,
     mark: HighWaterMark,
 ) -> MarkOutcome {
-    let (answer, replica) = match target {
-        Target::LocalDisk(id) => (Some(record_mark(shared, mark).await), Some(id)),
-        Target::Replica(id, address) => (
-            request_peer(shared, address, MeshRequest::Mark(mark), MARK_TIMEOUT).await,
-            Some(id),
-        ),
-        Target::Forwarder(address) => {
-            let request = MeshRequest::MarkVia(replicas, mark);
-            (
-                request_peer(shared, address, request, MARK_TIMEOUT).await,
-                None,
-            )
-        }
+    let (request, address) = match target {
+        Target::Replica(_, address) => (MeshRequest::Mark(mark), address),
+        Target::Forwarder(replica, address) => (MeshRequest::MarkVia(vec![replica], mark), address),
     };
-    match (answer, replica) {
-        (Some(MeshResponse::Done), Some(id)) | (Some(MeshResponse::Marked(id)), _) => {
-            MarkOutcome::Recorded(id)
-        }
+    let answer = request_peer(shared, address, request, MARK_TIMEOUT).await;
+    match (answer, target) {
+        (Some(MeshResponse::Done), Target::Replica(id, _))
+        | (Some(MeshResponse::Marked(id)), _) => MarkOutcome::Recorded(id),
         (Some(MeshResponse::Fenced), _) => MarkOutcome::Fenced,
         _ => MarkOutcome::Unavailable,
     }
 }
 
-/// Records a mark at the first of `targets` that responds. Every [`HEDGE_DELAY`] without
-/// a response, the next one is also asked.
-async fn record_at_any(
+/// Records a mark at `copies` different replicas, and applies each outcome to the grants
+/// as it arrives. Every [`HEDGE_DELAY`] without enough of them, the next target is asked.
+///
+/// Returns whether enough replicas have recorded it.
+async fn record_at_copies(
     shared: &Arc<ProcessContext>,
     targets: Vec<Target>,
-    replicas: &[KeeperId],
+    copies: usize,
     mark: &HighWaterMark,
-) -> MarkOutcome {
+) -> bool {
     let done = Arc::new(AtomicBool::new(false));
     let (sender, answers): (Sender<MarkOutcome>, _) = async_channel::unbounded();
-    for (index, target) in (0_u32..).zip(targets) {
+    for (index, target) in targets.into_iter().enumerate() {
         let (shared, done, sender) = (Arc::clone(shared), Arc::clone(&done), sender.clone());
-        let (replicas, mark) = (replicas.to_vec(), mark.clone());
+        let mark = mark.clone();
+        let steps = u32::try_from((index + 1).saturating_sub(copies)).unwrap_or(u32::MAX);
         let pool = shared.pool.clone();
         pool.spawn(async move {
-            if index > 0 {
-                Timer::after(HEDGE_DELAY * index).await;
+            if steps > 0 {
+                Timer::after(HEDGE_DELAY.saturating_mul(steps)).await;
             }
             if !done.load(Ordering::Relaxed) {
-                let outcome = record_at_target(&shared, target, replicas, mark).await;
-                // The receiver is gone if another target has responded first.
+                let outcome = record_at_target(&shared, target, mark).await;
+                // The receiver is gone if enough others have responded first.
                 let _ = sender.try_send(outcome);
             }
         });
     }
     drop(sender);
-    let first = async {
+    let mut replicas = Vec::new();
+    let recorded = async {
         while let Ok(outcome) = answers.recv().await {
-            if outcome != MarkOutcome::Unavailable {
-                return outcome;
+            match outcome {
+                MarkOutcome::Recorded(replica) => {
+                    if !replicas.contains(&replica) {
+                        replicas.push(replica);
+                    }
+                    apply_recorded_mark(shared, mark, replica);
+                    if replicas.len() >= copies {
+                        return true;
+                    }
+                }
+                MarkOutcome::Fenced => {
+                    apply_fence(shared, mark.lease);
+                    return true;
+                }
+                MarkOutcome::Unavailable => {}
             }
         }
-        MarkOutcome::Unavailable
+        false
     };
     let expired = async {
         Timer::after(MARK_TIMEOUT.into()).await;
-        MarkOutcome::Unavailable
+        false
     };
-    let outcome = first.or(expired).await;
+    let is_recorded = recorded.or(expired).await;
     done.store(true, Ordering::Relaxed);
-    outcome
+    is_recorded
 }
 
-/// Records marks as requests need them.
+/// Records marks as requests need them, on the local disk.
+pub async fn record_own_marks(shared: Arc<ProcessContext>) {
+    let Some(own) = shared.own_member.keeper else {
+        return;
+    };
+    loop {
+        let listener = shared.grants_needed.listen();
+        let now = shared.now();
+        let due = shared.state().grants.next_own_mark(now);
+        if let Some(mark) = due {
+            match record_mark(&shared, mark.clone()).await {
+                MeshResponse::Done => apply_recorded_mark(&shared, &mark, own),
+                MeshResponse::Fenced => apply_fence(&shared, mark.lease),
+                _ => {
+                    log::warn!("budget: event=disk_late lease={:x}", mark.lease);
+                    shared.state().disk_failure = Some(now);
+                    Timer::after(RETRY_DELAY).await;
+                }
+            }
+        }
+        let tick = async {
+            Timer::after(CHECK_INTERVAL).await;
+        };
+        listener.or(tick).await;
+    }
+}
+
+/// Records marks as requests need them, at other processes' replicas.
 pub async fn record_marks(shared: Arc<ProcessContext>) {
     loop {
         let listener = shared.grants_needed.listen();
@@ -279,11 +325,12 @@
             let mark = state.grants.next_mark(now);
             mark.map(|mark| (mark, state.grants.witnesses()))
         };
-        if let Some((mark, replicas)) = due {
+        if let Some((mark, mut replicas)) = due {
+            replicas.retain(|&id| Some(id) != shared.own_member.keeper);
+            let copies = quorum::copies(replicas.len());
             let targets = mark_targets(&shared, &replicas);
-            let outcome = record_at_any(&shared, targets, &replicas, &mark).await;
-            apply_mark_outcome(&shared, &mark, outcome);
-            if outcome == MarkOutcome::Unavailable {
+            if !record_at_copies(&shared, targets, copies, &mark).await {
+                apply_mark_failure(&shared, mark.lease);
                 Timer::after(RETRY_DELAY).await;
             }
         }
@@ -294,37 +341,44 @@
     }
 }
 
-/// Applies the result of recording a mark to the grants.
-fn apply_mark_outcome(shared: &ProcessContext, mark: &HighWaterMark, outcome: MarkOutcome) {
-    let lease = mark.lease;
+/// Applies a mark that a replica has recorded to the grants.
+fn apply_recorded_mark(shared: &ProcessContext, mark: &HighWaterMark, replica: KeeperId) {
     let now = shared.now();
     let mut state = shared.state();
-    match outcome {
-        MarkOutcome::Recorded(witness) => {
-            if let Some(since) = state.grants.unwitnessed_since() {
-                let ms = since.until(now).as_millis();
-                log::info!(
-                    "budget: event=witness_regained lease={lease:x} witness={witness} ms={ms}"
-                );
-            }
-            state.grants.confirm_mark(mark, witness);
-            state.last_witness = Some(witness);
-        }
-        MarkOutcome::Fenced => {
-            let fresh = fastrand::u64(1..);
-            log::warn!("budget: event=lease_fenced lease={lease:x} next={fresh:x}");
-            state.grants = Grants::new(fresh, shared.holder_id());
-        }
-        MarkOutcome::Unavailable => {
-            state.mark_failure = Some(now);
-            if state.grants.unwitnessed_since().is_none() {
-                log::warn!(
-                    "budget: event=witness_lost lease={lease:x} last={:?}",
-                    state.last_witness
-                );
-            }
-            state.grants.record_mark_failure(now);
+    let since = state.grants.unwitnessed_since();
+    state.grants.confirm_mark(mark, replica);
+    if let Some(since) = since
+        && state.grants.unwitnessed_since().is_none()
+    {
+        let lease = mark.lease;
+        let ms = since.until(now).as_millis();
+        log::info!("budget: event=witness_regained lease={lease:x} witness={replica} ms={ms}");
+    }
+    drop(state);
+    shared.grants_changed.notify(usize::MAX);
+}
+
+/// Begins another lease after a witness has fenced `lease`.
+fn apply_fence(shared: &ProcessContext, lease: u64) {
+    let mut state = shared.state();
+    if state.grants.lease_id() == lease {
+        let fresh = fastrand::u64(1..);
+        log::warn!("budget: event=lease_fenced lease={lease:x} next={fresh:x}");
+        state.grants = shared.new_grants(fresh);
+    }
+    drop(state);
+    shared.grants_changed.notify(usize::MAX);
+}
+
+/// Records that too few witnesses have a mark, if requests wait for it.
+fn apply_mark_failure(shared: &ProcessContext, lease: u64) {
+    let now = shared.now();
+    let mut state = shared.state();
+    if state.grants.lacks_limit() {
+        if state.grants.unwitnessed_since().is_none() {
+            log::warn!("budget: event=witness_lost lease={lease:x}");
         }
+        state.grants.record_mark_failure(now);
     }
     drop(state);
     shared.grants_changed.notify(usize::MAX);
--- a/crates/http/src/event_stream.rs
+++ b/crates/http/src/event_stream.rs
@@ -27,7 +27,8 @@
             in_event = false;
             continue;
         }
-        in_event = true;
+        // A line that begins with a colon is a comment.
+        in_event |= !line.starts_with(b":");
         if let Some(value) = line.strip_prefix(b"id:") {
             id = std::str::from_utf8(value).ok().map(str::trim);
         }
--- a/crates/ledger/src/allowance.rs
+++ b/crates/ledger/src/allowance.rs
@@ -4,11 +4,12 @@
 //! memory when their process ends. Grants and returns under a lease are cumulative
 //! sums that never decrease, so a lost, late or duplicate message changes nothing.
 //!
-//! An entry charges no more than its spend limit, and each limit is on the disk of
-//! one of the lease's witnesses before it is used. When the lease has ended, every
-//! witness is asked for its mark and accepts no further mark under the lease. The
-//! highest mark bounds what the entry can have spent, and the rest is unallocated
-//! again. If a witness's disk is lost, all granted tokens count as spent.
+//! An entry charges no more than its spend limit, and each limit is on the disks of
+//! enough of the lease's witnesses before it is used (see [`quorum`](crate::quorum)). When
+//! the lease has ended, its witnesses are asked for their marks and accept no further mark
+//! under the lease. The highest mark bounds what the entry can have spent, and the rest is
+//! unallocated again. If too many witnesses' disks are lost, all granted tokens count as
+//! spent.
 //!
 //! ```text
 //! total = unallocated + settled + sum of (granted - returned) over leases
@@ -167,6 +168,8 @@
 pub struct EndedLease {
     /// The lease's identity.
     pub lease: u64,
+    /// Identifies the position of the process that held it.
+    pub holder: u64,
     /// The replicas whose marks bound what the entry has spent.
     pub witnesses: Vec<KeeperId>,
 }
@@ -276,6 +279,7 @@
         let due = self.leases.iter().filter(is_due);
         due.map(|(&lease, open)| EndedLease {
             lease,
+            holder: open.holder,
             witnesses: open.witnesses.clone(),
         })
         .collect()
--- a/crates/ledger/src/grants.rs
+++ b/crates/ledger/src/grants.rs
@@ -15,6 +15,7 @@
 use crate::allowance::GrantReply;
 use crate::allowance::HighWaterMark;
 use crate::allowance::Lease;
+use crate::quorum;
 
 /// Expected demand that an entry holds in grants: an entry that is partitioned from the
 /// ledger continues for this long. Partitions of single instances last up to nine
@@ -25,6 +26,11 @@
 /// reaches a disk in a few milliseconds, and requests wait for it.
 const MARK_HORIZON: Span = Span::millis(250);
 
+/// Expected demand that the limit at other witnesses covers for an entry that records its
+/// limit on a disk of its own: it can spend for this long without them, and this is what
+/// the loss of its disk costs.
+const RESERVE_HORIZON: Span = Span::millis(4_000);
+
 /// Time constant of the exponentially decayed demand.
 const DEMAND_WINDOW: Span = Span::millis(4_000);
 
@@ -68,7 +74,7 @@
     charged: u64,
     /// The part of `charged` that ended requests have used.
     spent: u64,
-    /// The spend limit that a witness has recorded; `charged` never exceeds it.
+    /// The spend limit that the witnesses prove; `charged` never exceeds it.
     limit: u64,
     /// Largest request that waits for a grant.
     awaiting_grant: u64,
@@ -169,12 +175,16 @@
 #[derive(Clone, Debug)]
 pub struct Grants {
     lease: Lease,
-    /// The witnesses that the ledger knows; marks recorded by others don't count.
+    /// The replica on the entry's own disk, if it has one.
+    own_witness: Option<KeeperId>,
+    /// The witnesses that the ledger knows.
     confirmed_witnesses: Vec<KeeperId>,
     /// Whether the ledger may not know the lease's current witnesses.
     proposal_pending: bool,
-    /// The witness that recorded the last mark.
-    last_witness: Option<KeeperId>,
+    /// The witnesses to propose once they have the limits.
+    wanted_witnesses: Vec<KeeperId>,
+    /// The highest limit of each team that a witness has recorded.
+    recorded: Map<KeeperId, Map<String, u64>>,
     /// Since when no witness has recorded a mark.
     unwitnessed_since: Option<Time>,
     teams: Map<String, TeamGrants>,
@@ -191,14 +201,25 @@
                 holder,
                 ..Lease::default()
             },
+            own_witness: None,
             confirmed_witnesses: Vec::new(),
             proposal_pending: false,
-            last_witness: None,
+            wanted_witnesses: Vec::new(),
+            recorded: Map::default(),
             unwitnessed_since: None,
             teams: Map::default(),
         }
     }
 
+    /// Returns the empty grants of an entry whose own disk is the replica `own`.
+    #[must_use]
+    pub fn with_own_witness(id: u64, holder: u64, own: Option<KeeperId>) -> Self {
+        Self {
+            own_witness: own,
+            ..Self::new(id, holder)
+        }
+    }
+
     /// Returns the lease's identity.
     #[must_use]
     pub fn lease_id(&self) -> u64 {
@@ -211,27 +232,54 @@
         &self.lease
     }
 
-    /// Proposes the replicas that should be witnesses.
-    ///
-    /// A current witness that isn't in `wanted` is dropped only if the last mark is on
-    /// another witness that stays. Only one change is in progress at a time.
+    /// Proposes the replicas that should be witnesses, once they prove what is charged
+    /// already. Only one change is in progress at a time.
     pub fn propose_witnesses(&mut self, wanted: &[KeeperId]) {
         if self.proposal_pending || wanted.is_empty() {
             return;
         }
-        let mut next: Vec<KeeperId> = wanted.to_vec();
-        let is_kept = |id: &KeeperId| wanted.contains(id) && self.confirmed_witnesses.contains(id);
-        if !self.confirmed_witnesses.is_empty() && !self.last_witness.as_ref().is_some_and(is_kept)
-        {
-            next.extend(&self.confirmed_witnesses);
-        }
-        next.sort_unstable();
-        next.dedup();
-        if next != self.lease.witnesses {
-            self.lease.witnesses = next;
+        self.wanted_witnesses = wanted.to_vec();
+        self.wanted_witnesses.sort_unstable();
+        self.wanted_witnesses.dedup();
+        if self.wanted_witnesses != self.lease.witnesses && self.covers_charges() {
+            self.lease.witnesses.clone_from(&self.wanted_witnesses);
             self.lease.witness_version += 1;
             self.proposal_pending = true;
+            self.update_limits();
+        }
+    }
+
+    /// Returns whether the wanted witnesses prove all that is charged.
+    fn covers_charges(&self) -> bool {
+        let is_covered = |(team, grants): (&String, &TeamGrants)| {
+            self.proven_limit(&self.wanted_witnesses, team) >= grants.charged
+        };
+        self.teams.iter().all(is_covered)
+    }
+
+    /// Returns the limit of `team` that a set of witnesses proves.
+    fn proven_limit(&self, witnesses: &[KeeperId], team: &str) -> u64 {
+        quorum::proven_limit(self.own_witness, witnesses, |id| {
+            self.recorded_limit(id, team)
+        })
+    }
+
+    /// Returns the highest limit of `team` that a witness has recorded.
+    fn recorded_limit(&self, witness: KeeperId, team: &str) -> u64 {
+        let limits = self.recorded.get(&witness);
+        limits.and_then(|l| l.get(team)).copied().unwrap_or(0)
+    }
+
+    /// Updates the spend limits. While a change of the witnesses is pending, the ledger may
+    /// know either set, so both must prove the limit.
+    fn update_limits(&mut self) {
+        let mut teams = std::mem::take(&mut self.teams);
+        for (team, grants) in &mut teams {
+            let confirmed = self.proven_limit(&self.confirmed_witnesses, team);
+            let current = self.proven_limit(&self.lease.witnesses, team);
+            grants.limit = confirmed.min(current);
         }
+        self.teams = teams;
     }
 
     /// Returns whether the ledger hasn't confirmed the last change of the witnesses.
@@ -240,15 +288,29 @@
         self.proposal_pending
     }
 
-    /// Returns the replicas that can record a mark now.
+    /// Returns the replicas that should record marks: the witnesses that the ledger knows,
+    /// those proposed to it, and those to propose next.
     #[must_use]
     pub fn witnesses(&self) -> Vec<KeeperId> {
-        let is_current = |id: &&KeeperId| self.lease.witnesses.contains(id);
-        self.confirmed_witnesses
+        if self.confirmed_witnesses.is_empty() {
+            return Vec::new();
+        }
+        let proposed = self.lease.witnesses.iter().chain(&self.wanted_witnesses);
+        let mut witnesses: Vec<KeeperId> = self
+            .confirmed_witnesses
             .iter()
-            .filter(is_current)
+            .chain(proposed)
             .copied()
-            .collect()
+            .collect();
+        witnesses.sort_unstable();
+        witnesses.dedup();
+        witnesses
+    }
+
+    /// Returns the replica on the entry's own disk, if it is a witness now.
+    #[must_use]
+    pub fn own_witness(&self) -> Option<KeeperId> {
+        self.own_witness.filter(|id| self.witnesses().contains(id))
     }
 
     fn team_grants(&mut self, team: &str) -> &mut TeamGrants {
@@ -403,29 +465,82 @@
         }
     }
 
-    /// Returns the mark to record if a team soon needs a higher spend limit.
+    /// Returns the mark to record on the entry's own disk if a team soon needs a higher
+    /// spend limit.
+    pub fn next_own_mark(&mut self, now: Time) -> Option<HighWaterMark> {
+        let own = self.own_witness()?;
+        self.mark(now, MARK_HORIZON, |grants, team| {
+            grants.recorded_limit(own, team)
+        })
+    }
+
+    /// Returns the mark to record at other witnesses if a team soon needs a higher limit
+    /// there, or if the wanted witnesses lack limits.
     pub fn next_mark(&mut self, now: Time) -> Option<HighWaterMark> {
-        if self.witnesses().is_empty() {
+        let own = self.own_witness();
+        let others: Vec<KeeperId> = self.witnesses();
+        let others: Vec<KeeperId> = others.into_iter().filter(|&id| Some(id) != own).collect();
+        if others.is_empty() {
             return None;
         }
+        let horizon = own.map_or(MARK_HORIZON, |_| RESERVE_HORIZON);
+        self.mark(now, horizon, |grants, team| {
+            let at_others = |witnesses: &[KeeperId]| {
+                let others: Vec<KeeperId> = witnesses
+                    .iter()
+                    .copied()
+                    .filter(|&id| Some(id) != own)
+                    .collect();
+                quorum::proven_limit(None, &others, |id| grants.recorded_limit(id, team))
+            };
+            let sets = [
+                &grants.confirmed_witnesses,
+                &grants.lease.witnesses,
+                &grants.wanted_witnesses,
+            ];
+            let sets = sets
+                .into_iter()
+                .filter(|set| set.iter().any(|id| Some(*id) != own));
+            sets.map(|set| at_others(set)).min().unwrap_or(0)
+        })
+    }
+
+    /// Returns a mark that covers `horizon` of demand, if the `recorded` limit of a team is
+    /// too low.
+    fn mark(
+        &mut self,
+        now: Time,
+        horizon: Span,
+        recorded: impl Fn(&Self, &str) -> u64,
+    ) -> Option<HighWaterMark> {
+        let mut teams = std::mem::take(&mut self.teams);
         let mut due = false;
-        let mut limits = Vec::with_capacity(self.teams.len());
-        for (team, grants) in &mut self.teams {
+        let mut limits = Vec::with_capacity(teams.len());
+        for (team, grants) in &mut teams {
             grants.decay(now);
             let max_limit = grants.granted + grants.borrowed - grants.returned;
-            let expected = grants.expected_demand(MARK_HORIZON, now);
+            let expected = grants.expected_demand(horizon, now);
             let required = grants.charged + grants.awaiting_mark + grants.requested_loan;
-            let limit = (required + expected).min(max_limit).max(grants.limit);
-            due |= grants.limit < required + expected / 2 && limit > grants.limit;
+            let known = recorded(self, team);
+            let limit = (required + expected).min(max_limit).max(known);
+            due |= known < required + expected / 2 && limit > known;
             limits.push((team.clone(), limit));
         }
+        self.teams = teams;
         // While no witness answers, each further mark probes whether one does again.
         due |= self.unwitnessed_since.is_some();
         let lease = self.lease.id;
         due.then_some(HighWaterMark { lease, limits })
     }
 
-    /// Records that no witness has accepted a mark.
+    /// Returns whether a request or a peer waits for a higher spend limit.
+    #[must_use]
+    pub fn lacks_limit(&self) -> bool {
+        let waits = |grants: &TeamGrants| grants.awaiting_mark > 0 || grants.requested_loan > 0;
+        self.teams.values().any(waits)
+    }
+
+    /// Records that too few witnesses have accepted a mark.
     pub fn record_mark_failure(&mut self, now: Time) {
         self.unwitnessed_since = self.unwitnessed_since.or(Some(now));
     }
@@ -447,24 +562,33 @@
             .is_none_or(|since| since.until(now) < UNWITNESSED_TIMEOUT)
     }
 
-    /// Raises the spend limits after `witness` has recorded the mark.
+    /// Raises the spend limits after `witness` has recorded the mark, as far as enough
+    /// witnesses have it.
     pub fn confirm_mark(&mut self, mark: &HighWaterMark, witness: KeeperId) {
-        if mark.lease != self.lease.id || !self.witnesses().contains(&witness) {
+        if mark.lease != self.lease.id {
             return;
         }
-        self.last_witness = Some(witness);
-        self.unwitnessed_since = None;
+        let recorded = self.recorded.entry(witness).or_default();
         for (team, limit) in &mark.limits {
-            let grants = self.team_grants(team);
-            grants.limit = grants.limit.max(*limit);
+            let known = recorded.entry(team.clone()).or_default();
+            *known = (*known).max(*limit);
+        }
+        self.update_limits();
+        let mut covers_all = true;
+        for grants in self.teams.values_mut() {
             let headroom = grants.limit.saturating_sub(grants.charged);
             if headroom >= grants.awaiting_mark.min(grants.unused()) {
                 grants.awaiting_mark = 0;
+            } else {
+                covers_all = false;
             }
             if headroom >= grants.requested_loan {
                 grants.requested_loan = 0;
             }
         }
+        if covers_all {
+            self.unwitnessed_since = None;
+        }
     }
 
     /// Applies the ledger's replies to a draw under `lease`.
@@ -475,6 +599,7 @@
         if lease.witness_version == self.lease.witness_version {
             self.confirmed_witnesses.clone_from(&lease.witnesses);
             self.proposal_pending = false;
+            self.update_limits();
         }
         for reply in replies {
             let grants = self.team_grants(&reply.team);
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`dedup`]: the deduplication window of billed requests.
 //! - [`grants`]: an entry's grants for each team and its charges.
 //! - [`lease_budget`]: an entry's [`LeaseBudget`] of grants and reservations.
+//! - [`quorum`]: the witnesses that must record and that prove a spend limit.
 //! - [`reclaim`]: reclamation of the unspent tokens of ended leases.
 //! - [`share`]: a keeper's [`Share`], changed by journaled [`Event`]s.
 //! - [`text`]: the canonical text form of commands, for files and dumps.
@@ -22,6 +23,7 @@
 pub mod dedup;
 pub mod grants;
 pub mod lease_budget;
+pub mod quorum;
 pub mod reclaim;
 pub mod share;
 pub mod text;
