Draw nothing after the return at a planned stop, and charge complete streams exactly

Change: grants that were returned draw and open nothing more. A complete stream is charged its events.

--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -195,12 +195,15 @@
     let id = request.metadata.id.as_deref();
     shared.metrics.record_rejected(cause.status());
     log::info!(
-        "request: id={} event=end outcome=refused status={} reason=\"{}\" cause={cause:?} ms={elapsed_ms} left_ms={remaining_ms} after_ms={} prompt={}",
+        "request: id={} event=end outcome=refused status={} reason=\"{}\" cause={cause:?} ms={elapsed_ms} left_ms={remaining_ms} after_ms={} prompt={} team={}",
         id.unwrap_or("-"),
         cause.status(),
         cause.reason().trim_end(),
         retry_after_ms.unwrap_or(0),
-        request.metadata.prompt_tokens
+        request.metadata.prompt_tokens,
+        site.as_deref()
+            .and_then(|site| site.team(request.metadata.api_key.as_deref()?))
+            .map_or("-", |team| team.name.as_str())
     );
     let mut out = Vec::with_capacity(256);
     let rejection = headers::Rejection {
@@ -357,6 +360,7 @@
             let id = self.request.metadata.id.as_deref().unwrap_or("-");
             match outcome {
                 AttemptOutcome::Complete => {
+                    self.set_charge(true, 0);
                     self.log_completed(&engine);
                     return Ok(RequestOutcome::Complete);
                 }
@@ -435,10 +439,13 @@
     /// It's updated while the request runs, because the request is dropped immediately
     /// when its caller disconnects.
     fn update_charge(&mut self, running: bool) {
-        let (executed, event_count) = (
-            self.execution_count > 0 || running,
-            self.event_count + MAX_IN_FLIGHT_EVENTS,
-        );
+        self.set_charge(self.execution_count > 0 || running, MAX_IN_FLIGHT_EVENTS);
+    }
+
+    /// Sets the charge to the tokens used if the request was `executed`, where up to
+    /// `in_flight_events` may have arrived in addition to those counted.
+    fn set_charge(&mut self, executed: bool, in_flight_events: u64) {
+        let event_count = self.event_count + in_flight_events;
         if let Some(charge) = &mut self.charge {
             let metadata = &self.request.metadata;
             let output = (event_count * self.event_tokens).min(metadata.max_output);
--- a/crates/ledger/src/grants.rs
+++ b/crates/ledger/src/grants.rs
@@ -29,7 +29,7 @@
 /// Expected demand that the limit at other witnesses covers for an entry that records its
 /// limit on a disk of its own: it can spend for this long without them, and this is what
 /// the loss of its disk costs.
-const RESERVE_HORIZON: Span = Span::millis(4_000);
+const RESERVE_HORIZON: Span = Span::millis(1_500);
 
 /// Time constant of the exponentially decayed demand.
 const DEMAND_WINDOW: Span = Span::millis(4_000);
@@ -187,6 +187,8 @@
     recorded: Map<KeeperId, Map<String, u64>>,
     /// Since when no witness has recorded a mark.
     unwitnessed_since: Option<Time>,
+    /// Whether all grants were returned; no further ones are drawn.
+    closed: bool,
     teams: Map<String, TeamGrants>,
 }
 
@@ -207,6 +209,7 @@
             wanted_witnesses: Vec::new(),
             recorded: Map::default(),
             unwitnessed_since: None,
+            closed: false,
             teams: Map::default(),
         }
     }
@@ -371,6 +374,9 @@
     /// Returns the demands to send; empty if every team has what it needs.
     pub fn demands(&mut self, now: Time) -> Vec<Demand> {
         let mut demands = Vec::new();
+        if self.closed {
+            return demands;
+        }
         for (team, grants) in &mut self.teams {
             grants.decay(now);
             let target = grants.target(now);
@@ -397,8 +403,9 @@
     }
 
     /// Returns all unused grants to the ledger before a planned stop. The result is the
-    /// demands that report it.
+    /// demands that report it; there are no further demands or marks.
     pub fn return_all(&mut self) -> Vec<Demand> {
+        self.closed = true;
         let return_unused = |(team, grants): (&String, &mut TeamGrants)| {
             grants.returned += grants.unused();
             grants.awaiting_grant = 0;
@@ -513,6 +520,9 @@
         horizon: Span,
         recorded: impl Fn(&Self, &str) -> u64,
     ) -> Option<HighWaterMark> {
+        if self.closed {
+            return None;
+        }
         let mut teams = std::mem::take(&mut self.teams);
         let mut due = false;
         let mut limits = Vec::with_capacity(teams.len());
