Bound a spend limit by a reserve on several disks, and lend what a mark opens

With any one witness, as before, a lost disk cost all that ended leases held.

Change: a limit is on one disk again, its own or any witness's. A second one, the reserve, is higher, changes rarely and is on half of the other witnesses' disks; it bounds the limit and settles the lease if a disk that may have the limit is lost. It covers all unused grants of an entry without a disk, half of them when tokens are scarce, and one second of demand for an entry with a disk. A reserve that fails stops only teams that need it. Entries hold the standard deviation of their demand beyond the mean, as far as tokens are plentiful. A lender waits for the mark that opens a loan, and borrowers ask other peers each round instead of the same three for 400 ms. The pools' sums of peers' loads and of cached tokens are kept instead of added up a request, and an engine is found by its key.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -34,8 +34,8 @@
 /// Maximum number of peers asked in one round of borrowing.
 const MAX_LENDERS: usize = 3;
 
-/// Time after which other peers are asked for loans.
-const LENDER_ROTATION_INTERVAL: Span = Span::millis(400);
+/// Maximum wait of a lender for the mark that opens tokens for a loan.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(40);
 
 /// Maximum wait for a loan: several round trips between failure domains.
 const LOAN_TIMEOUT: Span = Span::millis(120);
@@ -120,32 +120,60 @@
     log::info!("budget: event=closed lease={lease:x} returned={returned}");
 }
 
-/// Lends tokens that a peer lacks.
-pub fn lend_tokens(shared: &ProcessContext, requests: Vec<(String, u64)>) -> MeshResponse {
-    let mut state = shared.state();
-    let lent = requests.into_iter().map(|(team, amount)| {
-        let loan = state.grants.lend(&team, amount);
-        (team, loan)
-    });
-    let lent = lent.filter(|(_, loan)| *loan > 0).collect();
-    drop(state);
+/// Lends tokens that a peer lacks. Waits for a mark if the spend limit doesn't cover the
+/// loan yet.
+pub async fn lend_tokens(shared: &ProcessContext, requests: Vec<(String, u64)>) -> MeshResponse {
+    let opened = shared.grants_changed.listen();
+    let mut lent = lend_opened_tokens(shared, &requests);
+    let is_short = shared.state().grants.lacks_loan();
+    if is_short {
+        shared.grants_needed.notify(usize::MAX);
+        let expired = async {
+            Timer::after(OPEN_TIMEOUT).await;
+        };
+        opened.or(expired).await;
+        let missing = requests.into_iter().map(|(team, amount)| {
+            let known = lent.iter().find(|(name, _)| *name == team);
+            let missing = amount - known.map_or(0, |(_, loan)| *loan).min(amount);
+            (team, missing)
+        });
+        let missing: Vec<(String, u64)> = missing.collect();
+        for (team, loan) in lend_opened_tokens(shared, &missing) {
+            match lent.iter_mut().find(|(name, _)| *name == team) {
+                Some((_, sum)) => *sum += loan,
+                None => lent.push((team, loan)),
+            }
+        }
+    }
     // The next mark opens more tokens for the peer's next request.
     shared.grants_needed.notify(usize::MAX);
     MeshResponse::Lent(lent)
 }
 
+fn lend_opened_tokens(shared: &ProcessContext, requests: &[(String, u64)]) -> Vec<(String, u64)> {
+    let mut state = shared.state();
+    let lent = requests.iter().map(|(team, amount)| {
+        let loan = state.grants.lend(team, *amount);
+        (team.clone(), loan)
+    });
+    lent.filter(|(_, loan)| *loan > 0).collect()
+}
+
 /// Borrows tokens from peers while the ledger doesn't respond, or while other entries
 /// hold a team's remaining tokens.
 pub async fn borrow_tokens(shared: Arc<ProcessContext>) {
+    // Borrowers begin with different peers.
+    let mut round = fastrand::usize(..1 << 16);
     loop {
         let listener = shared.grants_needed.listen();
         let mut asked = false;
-        for address in select_lenders(&shared) {
+        for address in select_lenders(&shared, round) {
             if !borrow_from(&shared, address).await {
                 break;
             }
             asked = true;
         }
+        round += usize::from(asked);
         if asked {
             Timer::after(MIN_BORROW_INTERVAL).await;
         }
@@ -156,16 +184,14 @@
     }
 }
 
-/// Returns the peers to ask now. They stay the same for a while, since a lender must
-/// open tokens before it can lend them.
-fn select_lenders(shared: &ProcessContext) -> Vec<SocketAddr> {
+/// Returns the peers to ask in a round; the next round asks others.
+fn select_lenders(shared: &ProcessContext, round: usize) -> Vec<SocketAddr> {
     let mut peers = reachable_peers(shared);
     if peers.is_empty() {
         return peers;
     }
     peers.sort_unstable();
-    let rotation = shared.now().0 / LENDER_ROTATION_INTERVAL.0;
-    let first = usize::try_from(rotation).unwrap_or(0) % peers.len();
+    let first = (round * MAX_LENDERS) % peers.len();
     peers.rotate_left(first);
     peers.truncate(MAX_LENDERS);
     peers
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -35,6 +35,7 @@
 use ledger::allowance::HighWaterMark;
 use ledger::allowance::Lease;
 use ledger::quorum;
+use ledger::quorum::Settlement;
 use store::DataFolder;
 use store::JournalOptions;
 use thiserror::Error;
@@ -91,7 +92,7 @@
     CloseLease(u64, Option<Vec<(String, u64)>>, Reply),
     /// Asks the leader for the leases to close. If the leases of all entries that are
     /// heard are given, the result also includes silent leases that aren't among them.
-    ListEndedLeases(Option<Vec<u64>>, Sender<Vec<EndedLease>>),
+    ListEndedLeases(Option<Vec<u64>>, Sender<Vec<SettlingLease>>),
     /// Names the replicas heard recently; the leader may remove another one.
     RemoveAbsent(Vec<KeeperId>),
     /// Adds a learner and removes the member that it replaces.
@@ -100,6 +101,15 @@
     Stop(Sender<()>),
 }
 
+/// An ended lease and the witnesses that settle it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SettlingLease {
+    /// The lease.
+    pub lease: u64,
+    /// The witnesses.
+    pub settlement: Settlement,
+}
+
 /// The request of a replica to become a learner.
 pub struct JoinRequest {
     /// The replica's identifier.
@@ -502,9 +512,9 @@
         }
     }
 
-    /// Sends the leases to close, each with the witnesses whose marks settle it. Leases with
-    /// too many lost disks are closed immediately, and all that they hold counts as spent.
-    fn list_ended_leases(&mut self, live: Option<&[u64]>, reply: &Sender<Vec<EndedLease>>) {
+    /// Sends the leases to settle. Leases with too many lost disks are closed immediately,
+    /// and all that they hold counts as spent.
+    fn list_ended_leases(&mut self, live: Option<&[u64]>, reply: &Sender<Vec<SettlingLease>>) {
         if self.local.replica.role() != Role::Leader {
             return;
         }
@@ -513,16 +523,16 @@
         let allowances = &self.local.state.allowances;
         let ended = allowances.ended_leases(before, live.unwrap_or_default());
         let members = self.local.replica.members().clone();
+        let is_lost = |id: KeeperId| members.disk(id).is_none();
         let mut settling = Vec::new();
-        for mut ended in ended {
+        for ended in ended {
             let own = self.own_replica(ended.holder);
-            let is_lost = |id: KeeperId| members.disk(id).is_none();
-            match quorum::settling_witnesses(own, &ended.witnesses, is_lost) {
-                Some(witnesses) if !ended.witnesses.is_empty() => {
-                    ended.witnesses = witnesses;
-                    settling.push(ended);
-                }
-                _ => self.close_unproven(&ended),
+            match quorum::settlement(own, &ended.witnesses, is_lost) {
+                Some(settlement) => settling.push(SettlingLease {
+                    lease: ended.lease,
+                    settlement,
+                }),
+                None => self.close_unproven(&ended),
             }
         }
         // The receiver may have been dropped.
@@ -692,9 +702,9 @@
             self.responses.push((reply, MeshResponse::Opened(opened)));
         }
         let allowances = &self.local.state.allowances;
-        self.local
-            .witness_log
-            .sync(|lease| allowances.is_closed(lease))?;
+        self.local.witness_log.sync(|lease| {
+            allowances.is_closed(lease) || allowances.is_closed(quorum::reserve_lease(lease))
+        })?;
         Ok(())
     }
 
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -128,7 +128,7 @@
                 .map_or(0, |index| index.site().version);
             MeshResponse::Config(version, state.config_body.to_vec())
         }
-        MeshRequest::Lend(wishes) => budget::lend_tokens(&shared, wishes),
+        MeshRequest::Lend(requests) => budget::lend_tokens(&shared, requests).await,
         MeshRequest::Mark(mark) => witness::record_mark(&shared, mark).await,
         MeshRequest::MarkVia(replicas, mark) => {
             witness::forward_mark(&shared, &replicas, mark).await
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -179,6 +179,7 @@
         pool.spawn(budget::borrow_tokens(Arc::clone(&self.shared)));
         pool.spawn(witness::record_marks(Arc::clone(&self.shared)));
         pool.spawn(witness::record_own_marks(Arc::clone(&self.shared)));
+        pool.spawn(witness::record_reserves(Arc::clone(&self.shared)));
         pool.spawn(mesh::report_memory());
         pool.spawn(settlement::settle_leases(Arc::clone(&self.shared)));
         pool.spawn(watch_settings(Arc::clone(&self.shared)));
--- a/crates/gateway/src/settlement.rs
+++ b/crates/gateway/src/settlement.rs
@@ -9,10 +9,12 @@
 use base::Span;
 use fleet::mesh::MeshRequest;
 use fleet::mesh::MeshResponse;
-use ledger::allowance::EndedLease;
+use ledger::quorum;
+use ledger::quorum::Settlement;
 
 use crate::group::Group;
 use crate::group::Input;
+use crate::group::SettlingLease;
 use crate::mesh::REACHABLE_TIMEOUT;
 use crate::mesh::REPLACEMENT_TIMEOUT;
 use crate::mesh::request_peer;
@@ -55,7 +57,7 @@
         let (reply, answer) = async_channel::bounded(1);
         group.send(Input::ListEndedLeases(live, reply));
         // A replica that no longer leads doesn't respond.
-        let ended: Vec<EndedLease> = answer.recv().await.unwrap_or_default();
+        let ended: Vec<SettlingLease> = answer.recv().await.unwrap_or_default();
         for ended in ended.into_iter().take(MAX_LEASES_PER_ROUND) {
             settle_lease(&shared, group, ended).await;
         }
@@ -76,16 +78,18 @@
     (Span(now.0) > REMOVAL_TIMEOUT).then_some(present)
 }
 
-/// Closes a lease after all its witnesses have fenced it. The largest mark of each team
-/// bounds what was spent.
-async fn settle_lease(shared: &ProcessContext, group: &Group, ended: EndedLease) {
+/// Closes a lease after the witnesses that settle it have fenced it. The largest mark of
+/// each team bounds what was spent.
+async fn settle_lease(shared: &ProcessContext, group: &Group, ended: SettlingLease) {
+    let lease = ended.lease;
+    let (fenced, witnesses) = match &ended.settlement {
+        Settlement::Spend(witnesses) => (lease, witnesses),
+        Settlement::Reserve(witnesses) => (quorum::reserve_lease(lease), witnesses),
+    };
     let mut limits: BTreeMap<String, u64> = BTreeMap::new();
-    for &id in &ended.witnesses {
-        let Some(opened) = fence_at_witness(shared, id, ended.lease).await else {
-            log::debug!(
-                "budget: event=lease_ended lease={:x} outcome=waits witness={id}",
-                ended.lease
-            );
+    for &id in witnesses {
+        let Some(opened) = fence_at_witness(shared, id, fenced).await else {
+            log::debug!("budget: event=lease_ended lease={lease:x} outcome=waits witness={id}");
             return;
         };
         for (team, opened) in opened {
@@ -95,13 +99,12 @@
     }
     let sum: u64 = limits.values().sum();
     log::info!(
-        "budget: event=lease_settled lease={:x} witnesses={:?} opened={sum}",
-        ended.lease,
-        ended.witnesses
+        "budget: event=lease_settled lease={lease:x} by={:?} opened={sum}",
+        ended.settlement
     );
     let (reply, answer) = async_channel::bounded(1);
     let opened = Some(limits.into_iter().collect());
-    group.send(Input::CloseLease(ended.lease, opened, reply));
+    group.send(Input::CloseLease(lease, opened, reply));
     // If the command isn't committed, a later round finds the lease again.
     let _ = answer.recv().await;
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,6 +14,7 @@
 
 use base::KeeperId;
 use base::Map;
+use base::Set;
 use base::Span;
 use base::Time;
 use base::time::Clock;
@@ -92,6 +93,8 @@
     pub directory: Directory,
     /// The pool of engines of each service.
     pub engine_pools: Map<String, EnginePool>,
+    /// The identifier of each usable engine, by its key.
+    engine_ids: Map<u64, String>,
     /// Idle connections to engines.
     pub connections: ConnectionPool,
     /// The grants of teams' tokens.
@@ -180,6 +183,14 @@
     base::hash::hasher().hash_one(address)
 }
 
+/// Returns whether `engine` can be sent new requests.
+fn is_usable(directory: &Directory, engine: &DirectoryEntry, heartbeat: Span, now: Time) -> bool {
+    let silent = Span(heartbeat.0 * MAX_MISSED_HEARTBEATS);
+    engine.announcement.phase == Phase::Ready
+        && engine.last_heard.until(now) < silent
+        && directory.is_current(engine)
+}
+
 impl ProcessState {
     /// Returns the state of a process at its start.
     #[must_use]
@@ -193,6 +204,7 @@
             config_confirmed: false,
             directory: Directory::default(),
             engine_pools: Map::default(),
+            engine_ids: Map::default(),
             connections: ConnectionPool::default(),
             grants: Grants::with_own_witness(fastrand::u64(1..), holder, own.keeper),
             disk_failure: None,
@@ -214,50 +226,43 @@
         }
     }
 
-    /// Returns whether `engine` can be sent new requests.
-    fn is_usable(&self, engine: &DirectoryEntry, heartbeat: Span, now: Time) -> bool {
-        let silent = Span(heartbeat.0 * MAX_MISSED_HEARTBEATS);
-        engine.announcement.phase == Phase::Ready
-            && engine.last_heard.until(now) < silent
-            && self.directory.is_current(engine)
-    }
-
     /// Updates the engine pools from the directory and the configuration.
     pub fn update_engine_pools(&mut self, settings: &NodeSettings, now: Time) {
         let Some(index) = self.site_index.clone() else {
             return;
         };
         let heartbeat = Span::millis(settings.heartbeat_ms);
+        self.engine_ids.clear();
         for service in &index.site().services {
-            let mut usable = Vec::new();
+            let pool = self.engine_pools.entry(service.name.clone()).or_default();
+            let mut usable = Set::default();
             for engine in self.directory.iter() {
-                if engine.announcement.service == service.name
-                    && self.is_usable(engine, heartbeat, now)
+                let announcement = &engine.announcement;
+                if announcement.service != service.name
+                    || !is_usable(&self.directory, engine, heartbeat, now)
                 {
-                    let remote = engine.announcement.domain != settings.domain;
-                    let backend = service.backend.as_ref();
-                    let capacity = EngineCapacity {
-                        max_requests: engine.announcement.slots,
-                        kv_tokens: backend.map_or(0, |backend| backend.memory_tokens),
-                    };
-                    usable.push((engine_key(&engine.announcement), capacity, remote));
+                    continue;
                 }
+                let backend = service.backend.as_ref();
+                let capacity = EngineCapacity {
+                    max_requests: announcement.slots,
+                    kv_tokens: backend.map_or(0, |backend| backend.memory_tokens),
+                };
+                let key = engine_key(announcement);
+                pool.upsert(key, capacity, announcement.domain != settings.domain);
+                usable.insert(key);
+                self.engine_ids.insert(key, announcement.id.clone());
             }
-            let pool = self.engine_pools.entry(service.name.clone()).or_default();
-            pool.retain(|key| usable.iter().any(|(known, ..)| *known == key));
-            for (key, capacity, remote) in usable {
-                pool.upsert(key, capacity, remote);
-            }
+            pool.retain(|key| usable.contains(&key));
         }
     }
 
-    /// Returns the engine with this key.
+    /// Returns the usable engine with this key.
     #[must_use]
     pub fn find_engine(&self, key: u64) -> Option<&EngineAnnouncement> {
-        let engines = self.directory.iter();
-        engines
-            .map(|engine| &engine.announcement)
-            .find(|announcement| engine_key(announcement) == key)
+        let engine = self.directory.get(self.engine_ids.get(&key)?)?;
+        let announcement = &engine.announcement;
+        (engine_key(announcement) == key).then_some(announcement)
     }
 
     /// Sets the leader's address from the leader that the local replica reports; `None` if
--- a/crates/gateway/src/witness.rs
+++ b/crates/gateway/src/witness.rs
@@ -1,9 +1,9 @@
 //! Records the high-water marks of what entries open of their grants at replicas, their
 //! witnesses.
 //!
-//! An entry with a disk records its spend limit there while the disk responds, and a
-//! reserve at other replicas. Other entries record their limits at several replicas, which
-//! they reach directly or through a peer.
+//! An entry with a disk records its spend limit there while the disk responds, other
+//! entries at any replica. All record a reserve at several replicas, which they reach
+//! directly or through a peer.
 
 use std::hash::BuildHasher as _;
 use std::net::SocketAddr;
@@ -37,6 +37,9 @@
 /// Delay after a mark that no witness has recorded.
 const RETRY_DELAY: Duration = Duration::from_millis(40);
 
+/// Delay after reserves that too few witnesses have recorded.
+const RESERVE_RETRY_DELAY: Duration = Duration::from_millis(200);
+
 /// Time without a response after which another witness is also asked: several round
 /// trips and syncs.
 const HEDGE_DELAY: Duration = Duration::from_millis(50);
@@ -171,7 +174,7 @@
 
 /// Returns the ways to record marks at `replicas`, the preferred ones first: each replica
 /// directly, in the same failure domain first, then those that only peers may reach.
-fn mark_targets(shared: &ProcessContext, replicas: &[KeeperId]) -> Vec<Target> {
+fn mark_targets(shared: &ProcessContext, replicas: &[KeeperId], copies: usize) -> Vec<Target> {
     let now = shared.now();
     let mut direct = Vec::new();
     {
@@ -194,7 +197,7 @@
     }
     direct.sort_unstable_by_key(|(order, _)| *order);
     let mut targets: Vec<Target> = direct.into_iter().map(|(_, target)| target).collect();
-    if targets.len() < quorum::copies(replicas.len()) {
+    if targets.len() < copies {
         let reached: Vec<KeeperId> = targets.iter().map(|target| target.replica()).collect();
         let peers = reachable_peers(shared);
         for &replica in replicas.iter().filter(|id| !reached.contains(id)) {
@@ -320,18 +323,32 @@
     loop {
         let listener = shared.grants_needed.listen();
         let now = shared.now();
-        let due = {
-            let mut state = shared.state();
-            let mark = state.grants.next_mark(now);
-            mark.map(|mark| (mark, state.grants.witnesses()))
+        let due = shared.state().grants.next_mark(now);
+        if let Some(mark) = due
+            && !record_at_others(&shared, &mark, |_| 1).await
+        {
+            apply_mark_failure(&shared);
+            Timer::after(RETRY_DELAY).await;
+        }
+        let tick = async {
+            Timer::after(CHECK_INTERVAL).await;
         };
-        if let Some((mark, mut replicas)) = due {
-            replicas.retain(|&id| Some(id) != shared.own_member.keeper);
-            let copies = quorum::copies(replicas.len());
-            let targets = mark_targets(&shared, &replicas);
-            if !record_at_copies(&shared, targets, copies, &mark).await {
-                apply_mark_failure(&shared, mark.lease);
-                Timer::after(RETRY_DELAY).await;
+        listener.or(tick).await;
+    }
+}
+
+/// Records reserves ahead of the spend limits, at several other processes' replicas.
+pub async fn record_reserves(shared: Arc<ProcessContext>) {
+    loop {
+        let listener = shared.grants_needed.listen();
+        let now = shared.now();
+        let due = shared.state().grants.next_reserve(now);
+        if let Some(mark) = due {
+            let recorded = record_at_others(&shared, &mark, quorum::copies).await;
+            shared.state().grants.set_reserves_failed(!recorded);
+            shared.grants_changed.notify(usize::MAX);
+            if !recorded {
+                Timer::after(RESERVE_RETRY_DELAY).await;
             }
         }
         let tick = async {
@@ -341,6 +358,20 @@
     }
 }
 
+/// Records a mark at as many of the other witnesses as `copies` returns for their number;
+/// returns whether they have it.
+async fn record_at_others(
+    shared: &Arc<ProcessContext>,
+    mark: &HighWaterMark,
+    copies: impl Fn(usize) -> usize,
+) -> bool {
+    let mut replicas = shared.state().grants.witnesses();
+    replicas.retain(|&id| Some(id) != shared.own_member.keeper);
+    let copies = copies(replicas.len());
+    let targets = mark_targets(shared, &replicas, copies);
+    record_at_copies(shared, targets, copies, mark).await
+}
+
 /// Applies a mark that a replica has recorded to the grants.
 fn apply_recorded_mark(shared: &ProcessContext, mark: &HighWaterMark, replica: KeeperId) {
     let now = shared.now();
@@ -361,7 +392,8 @@
 /// Begins another lease after a witness has fenced `lease`.
 fn apply_fence(shared: &ProcessContext, lease: u64) {
     let mut state = shared.state();
-    if state.grants.lease_id() == lease {
+    let current = state.grants.lease_id();
+    if lease == current || lease == quorum::reserve_lease(current) {
         let fresh = fastrand::u64(1..);
         log::warn!("budget: event=lease_fenced lease={lease:x} next={fresh:x}");
         state.grants = shared.new_grants(fresh);
@@ -370,12 +402,13 @@
     shared.grants_changed.notify(usize::MAX);
 }
 
-/// Records that too few witnesses have a mark, if requests wait for it.
-fn apply_mark_failure(shared: &ProcessContext, lease: u64) {
+/// Records that no witness has a mark, if requests wait for it.
+fn apply_mark_failure(shared: &ProcessContext) {
     let now = shared.now();
     let mut state = shared.state();
     if state.grants.lacks_limit() {
         if state.grants.unwitnessed_since().is_none() {
+            let lease = state.grants.lease_id();
             log::warn!("budget: event=witness_lost lease={lease:x}");
         }
         state.grants.record_mark_failure(now);
--- a/crates/ledger/src/grants.rs
+++ b/crates/ledger/src/grants.rs
@@ -16,6 +16,7 @@
 use crate::allowance::HighWaterMark;
 use crate::allowance::Lease;
 use crate::quorum;
+use crate::quorum::RecordedLimits;
 
 /// Expected demand that an entry holds in grants: an entry that is partitioned from the
 /// ledger continues for this long. Partitions of single instances last up to nine
@@ -26,14 +27,28 @@
 /// reaches a disk in a few milliseconds, and requests wait for it.
 const MARK_HORIZON: Span = Span::millis(250);
 
-/// Expected demand that the limit at other witnesses covers for an entry that records its
-/// limit on a disk of its own: it can spend for this long without them, and this is what
-/// the loss of its disk costs.
-const RESERVE_HORIZON: Span = Span::millis(1_500);
+/// Expected demand that the reserve of an entry with a disk of its own covers at most: it
+/// can spend for this long without other witnesses.
+const OWN_DISK_RESERVE_HORIZON: Span = Span::millis(1_000);
+
+/// Divisor of the unused grants that bounds the reserve ahead when tokens are scarce: a
+/// lost disk then costs at most this part of what the entry holds.
+const SCARCE_RESERVE_DIVISOR: u64 = 2;
 
 /// Time constant of the exponentially decayed demand.
 const DEMAND_WINDOW: Span = Span::millis(4_000);
 
+/// Time constant of the decayed squares of charges. A small team sends an entry one request
+/// in several seconds.
+const VARIANCE_WINDOW: Span = Span::millis(16_000);
+
+/// Multiple of the demand's standard deviation that an entry holds beyond the mean.
+const DEVIATION_FACTOR: f64 = 1.5;
+
+/// Divisor of the team's unspent tokens that bounds what an entry holds beyond the mean: the
+/// last tokens must not stay at entries without requests.
+const DEVIATION_DIVISOR: u64 = 16;
+
 /// Divisor of the target that gives the size of one loan request during a partition.
 const LOAN_DIVISOR: u64 = 6;
 
@@ -76,6 +91,8 @@
     spent: u64,
     /// The spend limit that the witnesses prove; `charged` never exceeds it.
     limit: u64,
+    /// The reserve that the witnesses prove; `limit` never exceeds it.
+    reserve: u64,
     /// Largest request that waits for a grant.
     awaiting_grant: u64,
     /// Largest request that waits for a mark.
@@ -84,6 +101,8 @@
     requested_loan: u64,
     /// Tokens charged, decayed with [`DEMAND_WINDOW`].
     demand: f64,
+    /// The squares of the amounts charged, decayed with [`VARIANCE_WINDOW`].
+    squares: f64,
     /// Time of the first charge; the average of a new team covers less than a window.
     first_demand: Option<Time>,
     decayed_at: Time,
@@ -120,10 +139,40 @@
         self.granted + self.borrowed - self.returned - self.charged
     }
 
+    /// Returns the tokens beyond those required that the reserve should cover.
+    ///
+    /// Load pattern: partitions from all disks but one last for seconds, and the grants of a
+    /// small team cover few requests. All of them are usable unless tokens are scarce.
+    fn reserve_ahead(&self, has_disk: bool, now: Time) -> u64 {
+        let unused = self.unused();
+        if has_disk {
+            let expected = self.expected_demand(OWN_DISK_RESERVE_HORIZON, now);
+            return expected.min(unused / SCARCE_RESERVE_DIVISOR);
+        }
+        let target = self.target(now);
+        if self.answer.is_some_and(|answer| answer.fair_share < target) {
+            unused / SCARCE_RESERVE_DIVISOR
+        } else {
+            unused
+        }
+    }
+
+    /// Returns the spend limit that requests need now.
+    fn required_limit(&self) -> u64 {
+        self.charged + self.awaiting_mark + self.requested_loan
+    }
+
+    /// Returns the highest spend limit that the grants allow.
+    fn max_limit(&self) -> u64 {
+        self.granted + self.borrowed - self.returned
+    }
+
     fn decay(&mut self, now: Time) {
+        let elapsed = self.decayed_at.until(now);
         #[allow(clippy::cast_precision_loss)]
-        let windows = self.decayed_at.until(now).0 as f64 / DEMAND_WINDOW.0 as f64;
-        self.demand *= (-windows).exp();
+        let factor = |window: Span| (-(elapsed.0 as f64) / window.0 as f64).exp();
+        self.demand *= factor(DEMAND_WINDOW);
+        self.squares *= factor(VARIANCE_WINDOW);
         self.decayed_at = now;
     }
 
@@ -143,9 +192,22 @@
         (rate * span.0 as f64) as u64
     }
 
-    /// Returns the number of unused tokens that the entry wants to hold.
+    /// Returns the number of unused tokens that the entry wants to hold: the mean demand and
+    /// a multiple of its standard deviation.
+    ///
+    /// Load pattern: many entries and teams, so that each entry gets few requests of a team,
+    /// and a partition from the ledger. The demand of seconds is a few large requests or none.
+    #[allow(
+        clippy::cast_precision_loss,
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss
+    )]
     fn target(&self, now: Time) -> u64 {
-        self.expected_demand(GRANT_HORIZON, now) + self.awaiting_grant
+        let variance = self.squares * (GRANT_HORIZON.0 as f64 / VARIANCE_WINDOW.0 as f64);
+        let deviation = (DEVIATION_FACTOR * variance.sqrt()) as u64;
+        let unspent = self.answer.map_or(0, |answer| answer.unspent);
+        let deviation = deviation.min(unspent / DEVIATION_DIVISOR);
+        self.expected_demand(GRANT_HORIZON, now) + deviation + self.awaiting_grant
     }
 
     /// Returns the unused tokens that the entry should return.
@@ -183,10 +245,12 @@
     proposal_pending: bool,
     /// The witnesses to propose once they have the limits.
     wanted_witnesses: Vec<KeeperId>,
-    /// The highest limit of each team that a witness has recorded.
-    recorded: Map<KeeperId, Map<String, u64>>,
+    /// The highest limits of each team that a witness has recorded.
+    recorded: Map<KeeperId, Map<String, RecordedLimits>>,
     /// Since when no witness has recorded a mark.
     unwitnessed_since: Option<Time>,
+    /// Whether too few witnesses have recorded the last reserves.
+    reserves_failed: bool,
     /// Whether all grants were returned; no further ones are drawn.
     closed: bool,
     teams: Map<String, TeamGrants>,
@@ -209,6 +273,7 @@
             wanted_witnesses: Vec::new(),
             recorded: Map::default(),
             unwitnessed_since: None,
+            reserves_failed: false,
             closed: false,
             teams: Map::default(),
         }
@@ -263,14 +328,39 @@
     /// Returns the limit of `team` that a set of witnesses proves.
     fn proven_limit(&self, witnesses: &[KeeperId], team: &str) -> u64 {
         quorum::proven_limit(self.own_witness, witnesses, |id| {
-            self.recorded_limit(id, team)
+            self.recorded_limits(id, team)
         })
     }
 
-    /// Returns the highest limit of `team` that a witness has recorded.
-    fn recorded_limit(&self, witness: KeeperId, team: &str) -> u64 {
+    /// Returns the highest limits of `team` that a witness has recorded.
+    fn recorded_limits(&self, witness: KeeperId, team: &str) -> RecordedLimits {
         let limits = self.recorded.get(&witness);
-        limits.and_then(|l| l.get(team)).copied().unwrap_or(0)
+        limits
+            .and_then(|l| l.get(team))
+            .copied()
+            .unwrap_or_default()
+    }
+
+    /// Returns the reserve of `team` that all sets of witnesses prove; `None` if it needs none.
+    fn proven_reserve(&self, team: &str) -> Option<u64> {
+        let proven = |set: &[KeeperId]| {
+            let recorded = |id| self.recorded_limits(id, team);
+            quorum::proven_reserve(self.own_witness, set, recorded)
+        };
+        self.witness_sets().filter_map(proven).min()
+    }
+
+    /// Returns the sets of witnesses that marks must reach: those that the ledger may know,
+    /// and those to propose next.
+    fn witness_sets(&self) -> impl Iterator<Item = &[KeeperId]> {
+        let sets = [
+            &self.confirmed_witnesses,
+            &self.lease.witnesses,
+            &self.wanted_witnesses,
+        ];
+        sets.into_iter()
+            .filter(|set| !set.is_empty())
+            .map(Vec::as_slice)
     }
 
     /// Updates the spend limits. While a change of the witnesses is pending, the ledger may
@@ -281,6 +371,7 @@
             let confirmed = self.proven_limit(&self.confirmed_witnesses, team);
             let current = self.proven_limit(&self.lease.witnesses, team);
             grants.limit = confirmed.min(current);
+            grants.reserve = self.proven_reserve(team).unwrap_or(u64::MAX);
         }
         self.teams = teams;
     }
@@ -331,11 +422,13 @@
     /// demand or mark then asks for it.
     pub fn charge(&mut self, team: &str, amount: u64, now: Time) -> Result<(), ChargeError> {
         let no_witness = self.unwitnessed_since.is_some();
+        let reserves_failed = self.reserves_failed;
         let grants = self.team_grants(team);
         grants.decay(now);
         if grants.unused() >= amount && grants.limit < grants.charged + amount {
             grants.awaiting_mark = grants.awaiting_mark.max(amount);
-            return Err(if no_witness {
+            let no_reserve = reserves_failed && grants.reserve < grants.charged + amount;
+            return Err(if no_witness || no_reserve {
                 ChargeError::NoWitness
             } else {
                 ChargeError::AwaitingMark
@@ -345,6 +438,7 @@
             #[allow(clippy::cast_precision_loss)]
             let demand = amount as f64;
             grants.demand += demand;
+            grants.squares += demand * demand;
             grants.first_demand = grants.first_demand.or(Some(now));
             grants.charged += amount;
             return Ok(());
@@ -476,48 +570,32 @@
     /// spend limit.
     pub fn next_own_mark(&mut self, now: Time) -> Option<HighWaterMark> {
         let own = self.own_witness()?;
-        self.mark(now, MARK_HORIZON, |grants, team| {
-            grants.recorded_limit(own, team)
-        })
+        self.spend_mark(now, |grants, team| grants.recorded_limits(own, team).spend)
     }
 
-    /// Returns the mark to record at other witnesses if a team soon needs a higher limit
-    /// there, or if the wanted witnesses lack limits.
+    /// Returns the mark to record at any witness if a team soon needs a higher spend limit;
+    /// `None` while the entry's own disk has the limits.
     pub fn next_mark(&mut self, now: Time) -> Option<HighWaterMark> {
-        let own = self.own_witness();
-        let others: Vec<KeeperId> = self.witnesses();
-        let others: Vec<KeeperId> = others.into_iter().filter(|&id| Some(id) != own).collect();
-        if others.is_empty() {
+        let own = self.own_witness;
+        let lacks_own = |set: &&[KeeperId]| own.is_none_or(|own| !set.contains(&own));
+        if self.witnesses().is_empty() || !self.witness_sets().any(|set| lacks_own(&set)) {
             return None;
         }
-        let horizon = own.map_or(MARK_HORIZON, |_| RESERVE_HORIZON);
-        self.mark(now, horizon, |grants, team| {
-            let at_others = |witnesses: &[KeeperId]| {
-                let others: Vec<KeeperId> = witnesses
-                    .iter()
-                    .copied()
-                    .filter(|&id| Some(id) != own)
-                    .collect();
-                quorum::proven_limit(None, &others, |id| grants.recorded_limit(id, team))
+        self.spend_mark(now, |grants, team| {
+            let highest = |set: &[KeeperId]| {
+                let limits = set.iter().map(|&id| grants.recorded_limits(id, team).spend);
+                limits.max().unwrap_or(0)
             };
-            let sets = [
-                &grants.confirmed_witnesses,
-                &grants.lease.witnesses,
-                &grants.wanted_witnesses,
-            ];
-            let sets = sets
-                .into_iter()
-                .filter(|set| set.iter().any(|id| Some(*id) != own));
-            sets.map(|set| at_others(set)).min().unwrap_or(0)
+            let sets = grants.witness_sets().filter(lacks_own);
+            sets.map(highest).min().unwrap_or(0)
         })
     }
 
-    /// Returns a mark that covers `horizon` of demand, if the `recorded` limit of a team is
-    /// too low.
-    fn mark(
+    /// Returns a mark of spend limits that cover the next requests, if the one `recorded` of a
+    /// team is too low.
+    fn spend_mark(
         &mut self,
         now: Time,
-        horizon: Span,
         recorded: impl Fn(&Self, &str) -> u64,
     ) -> Option<HighWaterMark> {
         if self.closed {
@@ -528,11 +606,10 @@
         let mut limits = Vec::with_capacity(teams.len());
         for (team, grants) in &mut teams {
             grants.decay(now);
-            let max_limit = grants.granted + grants.borrowed - grants.returned;
-            let expected = grants.expected_demand(horizon, now);
-            let required = grants.charged + grants.awaiting_mark + grants.requested_loan;
+            let expected = grants.expected_demand(MARK_HORIZON, now);
+            let required = grants.required_limit();
             let known = recorded(self, team);
-            let limit = (required + expected).min(max_limit).max(known);
+            let limit = (required + expected).min(grants.max_limit()).max(known);
             due |= known < required + expected / 2 && limit > known;
             limits.push((team.clone(), limit));
         }
@@ -543,6 +620,38 @@
         due.then_some(HighWaterMark { lease, limits })
     }
 
+    /// Returns the reserves to record at [`quorum::copies`] of the other witnesses, if a
+    /// quarter of one is used.
+    pub fn next_reserve(&mut self, now: Time) -> Option<HighWaterMark> {
+        if self.closed || self.witnesses().is_empty() {
+            return None;
+        }
+        let own = self.own_witness;
+        let mut teams = std::mem::take(&mut self.teams);
+        let mut due = false;
+        let mut limits = Vec::with_capacity(teams.len());
+        for (team, grants) in &mut teams {
+            grants.decay(now);
+            let ahead = grants.reserve_ahead(own.is_some(), now);
+            let required = grants.required_limit();
+            let Some(known) = self.proven_reserve(team) else {
+                continue;
+            };
+            let limit = (required + ahead).min(grants.max_limit()).max(known);
+            due |= known < required + ahead / 4 * 3 && limit > known;
+            limits.push((team.clone(), limit));
+        }
+        self.teams = teams;
+        let lease = quorum::reserve_lease(self.lease.id);
+        due.then_some(HighWaterMark { lease, limits })
+    }
+
+    /// Returns whether a loan was cut short by the spend limit.
+    #[must_use]
+    pub fn lacks_loan(&self) -> bool {
+        self.teams.values().any(|grants| grants.requested_loan > 0)
+    }
+
     /// Returns whether a request or a peer waits for a higher spend limit.
     #[must_use]
     pub fn lacks_limit(&self) -> bool {
@@ -555,6 +664,11 @@
         self.unwitnessed_since = self.unwitnessed_since.or(Some(now));
     }
 
+    /// Records whether enough witnesses have recorded the last reserves.
+    pub fn set_reserves_failed(&mut self, failed: bool) {
+        self.reserves_failed = failed;
+    }
+
     /// Returns since when no witness has accepted a mark.
     #[must_use]
     pub fn unwitnessed_since(&self) -> Option<Time> {
@@ -572,15 +686,21 @@
             .is_none_or(|since| since.until(now) < UNWITNESSED_TIMEOUT)
     }
 
-    /// Raises the spend limits after `witness` has recorded the mark, as far as enough
-    /// witnesses have it.
+    /// Raises the spend limits after `witness` has recorded a mark or reserves, as far as
+    /// enough witnesses have them.
     pub fn confirm_mark(&mut self, mark: &HighWaterMark, witness: KeeperId) {
-        if mark.lease != self.lease.id {
+        let is_reserve = mark.lease == quorum::reserve_lease(self.lease.id);
+        if mark.lease != self.lease.id && !is_reserve {
             return;
         }
         let recorded = self.recorded.entry(witness).or_default();
         for (team, limit) in &mark.limits {
             let known = recorded.entry(team.clone()).or_default();
+            let known = if is_reserve {
+                &mut known.reserve
+            } else {
+                &mut known.spend
+            };
             *known = (*known).max(*limit);
         }
         self.update_limits();
--- a/crates/ledger/src/quorum.rs
+++ b/crates/ledger/src/quorum.rs
@@ -1,64 +1,112 @@
-//! The number of witnesses that must record a spend limit, and those that prove it when
-//! the lease has ended.
+//! The witnesses that must record a spend limit, and those that prove it when the lease
+//! has ended.
 //!
-//! An entry without a disk records each limit at [`copies`] of its lease's witnesses. Any
-//! set of witnesses that lacks fewer than that contains one that has the latest limit, so a
-//! lease can be settled although some of their disks are lost.
+//! An entry's limit is on one disk: its own, or that of any witness. If that disk may be
+//! lost, a second limit bounds the first: the *reserve*, which is higher, changes rarely and
+//! is on several witnesses' disks. A lease is settled by its limit if no disk that may have
+//! it is lost, otherwise by its reserve.
 //!
-//! An entry with a disk of its own records its limit there, and at the other witnesses a
-//! higher one that covers seconds of demand. Its own disk proves the limit, and the others
-//! bound it if that disk is lost. The entry can spend for some time without them.
+//! Load pattern: entries are partitioned from all disks but one for seconds. They go on
+//! spending up to the reserve.
 
 use base::KeeperId;
 
-/// Returns how many of `count` witnesses must record a limit.
+/// Distinguishes the reserve of a lease from its limit in a witness's journal.
+const RESERVE_MASK: u64 = 0xa5a5_5a5a_c3c3_3c3c;
+
+/// Returns the identity under which witnesses record the reserve of `lease`. Applied twice,
+/// it returns the lease.
+#[must_use]
+pub fn reserve_lease(lease: u64) -> u64 {
+    lease ^ RESERVE_MASK
+}
+
+/// Returns how many of `count` witnesses must record a reserve. Settling needs the answers
+/// of all but fewer than that.
 #[must_use]
 pub fn copies(count: usize) -> usize {
     count.div_ceil(2)
 }
 
-/// Returns the limit that settling a lease can't miss, where `recorded` is the highest limit
-/// known to be on a witness's disk. `own` is the replica on the entry's own disk, if any.
-#[must_use]
+/// The highest limits of a team that a witness has recorded, in tokens.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RecordedLimits {
+    /// The spend limit.
+    pub spend: u64,
+    /// The reserve.
+    pub reserve: u64,
+}
+
+/// The witnesses that settle an ended lease: all of them must answer, and the highest limit
+/// among the answers counts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Settlement {
+    /// By the spend limits that these have recorded.
+    Spend(Vec<KeeperId>),
+    /// By the reserves that these have recorded.
+    Reserve(Vec<KeeperId>),
+}
+
+/// Returns the witnesses other than the replica on the entry's own disk.
+fn others(own: Option<KeeperId>, witnesses: &[KeeperId]) -> impl Iterator<Item = KeeperId> + '_ {
+    witnesses.iter().copied().filter(move |&id| Some(id) != own)
+}
+
+/// Returns the reserve of a team that enough witnesses have; `None` if there are no
+/// witnesses besides the entry's own disk.
+pub fn proven_reserve(
+    own: Option<KeeperId>,
+    witnesses: &[KeeperId],
+    recorded: impl Fn(KeeperId) -> RecordedLimits,
+) -> Option<u64> {
+    let mut reserves: Vec<u64> = others(own, witnesses)
+        .map(|id| recorded(id).reserve)
+        .collect();
+    reserves.sort_unstable_by(|a, b| b.cmp(a));
+    reserves
+        .get(copies(reserves.len()).checked_sub(1)?)
+        .copied()
+}
+
+/// Returns the limit of a team up to which any [`settlement`] counts what is spent. `own` is
+/// the replica on the entry's own disk, if any.
 pub fn proven_limit(
     own: Option<KeeperId>,
     witnesses: &[KeeperId],
-    recorded: impl Fn(KeeperId) -> u64,
+    recorded: impl Fn(KeeperId) -> RecordedLimits,
 ) -> u64 {
     let own = own.filter(|id| witnesses.contains(id));
-    let others = witnesses.iter().copied().filter(|&id| Some(id) != own);
-    let mut limits: Vec<u64> = others.map(&recorded).collect();
-    limits.sort_unstable_by(|a, b| b.cmp(a));
-    let at_others = copies(limits.len())
-        .checked_sub(1)
-        .and_then(|index| limits.get(index).copied());
-    match (own.map(recorded), at_others) {
-        (Some(at_own), Some(at_others)) => at_own.min(at_others),
-        (at_own, at_others) => at_own.or(at_others).unwrap_or(0),
-    }
+    let spend = match own {
+        Some(own) => recorded(own).spend,
+        None => witnesses
+            .iter()
+            .map(|&id| recorded(id).spend)
+            .max()
+            .unwrap_or(0),
+    };
+    proven_reserve(own, witnesses, recorded).map_or(spend, |reserve| spend.min(reserve))
 }
 
-/// Returns the witnesses whose limits, at most, settle an ended lease: all of them must
-/// answer. Returns `None` if too many disks are lost, so that all granted tokens count as
-/// spent.
+/// Returns how to settle an ended lease, or `None` if too many disks are lost, so that all
+/// granted tokens count as spent.
 #[must_use]
-pub fn settling_witnesses(
+pub fn settlement(
     own: Option<KeeperId>,
     witnesses: &[KeeperId],
     is_lost: impl Fn(KeeperId) -> bool,
-) -> Option<Vec<KeeperId>> {
+) -> Option<Settlement> {
+    if witnesses.is_empty() {
+        return None;
+    }
     let own = own.filter(|id| witnesses.contains(id));
-    if let Some(own) = own
-        && !is_lost(own)
-    {
-        return Some(vec![own]);
+    match own {
+        Some(own) if !is_lost(own) => return Some(Settlement::Spend(vec![own])),
+        None if !witnesses.iter().any(|&id| is_lost(id)) => {
+            return Some(Settlement::Spend(witnesses.to_vec()));
+        }
+        _ => {}
     }
-    let others: Vec<KeeperId> = witnesses
-        .iter()
-        .copied()
-        .filter(|&id| Some(id) != own)
-        .collect();
-    let present: Vec<KeeperId> = others.iter().copied().filter(|&id| !is_lost(id)).collect();
-    let lost = others.len() - present.len();
-    (lost < copies(others.len())).then_some(present)
+    let present: Vec<KeeperId> = others(own, witnesses).filter(|&id| !is_lost(id)).collect();
+    let count = others(own, witnesses).count();
+    (count - present.len() < copies(count)).then_some(Settlement::Reserve(present))
 }
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -112,7 +112,11 @@
     cross_domain: bool,
     own_load: EngineLoad,
     peer_loads: Map<u64, EngineLoad>,
+    /// The sum of `peer_loads`.
+    peer_total: EngineLoad,
     cached_segments: Map<u64, (u32, Time)>,
+    /// The sum of the tokens of `cached_segments`.
+    cached_tokens: u64,
     /// The observed time to first token, as a multiple of the baseline.
     slowdown: f64,
     /// The time of the last slowdown sample.
@@ -164,12 +168,22 @@
 impl EngineState {
     fn total_load(&self) -> EngineLoad {
         let mut total = self.own_load;
-        for load in self.peer_loads.values() {
-            total.add(*load);
-        }
+        total.add(self.peer_total);
         total
     }
 
+    /// Replaces the load that the entry `peer` reports.
+    fn set_peer_load(&mut self, peer: u64, load: Option<EngineLoad>) {
+        let old = match load {
+            Some(load) => {
+                self.peer_total.add(load);
+                self.peer_loads.insert(peer, load)
+            }
+            None => self.peer_loads.remove(&peer),
+        };
+        self.peer_total.subtract(old.unwrap_or_default());
+    }
+
     /// Returns the number of prompt tokens that need prefill at the engine.
     fn uncached_tokens(&self, request: &PlacementRequest<'_>) -> u64 {
         let cached_tokens = request.segments.iter().map_while(|segment| {
@@ -248,8 +262,11 @@
 
     fn cache_segments(&mut self, segments: &[PromptSegment], now: Time) {
         for segment in segments {
-            self.cached_segments
-                .insert(segment.id, (segment.tokens, now));
+            let cached = (segment.tokens, now);
+            let old = self.cached_segments.insert(segment.id, cached);
+            let old_tokens = old.map_or(0, |(tokens, _)| u64::from(tokens));
+            self.cached_tokens += u64::from(segment.tokens);
+            self.cached_tokens -= old_tokens;
         }
         self.evict_segments();
     }
@@ -262,18 +279,13 @@
             clippy::cast_sign_loss
         )]
         let available = (MAX_CACHED_KV_FRACTION * self.capacity.kv_tokens as f64) as u64;
-        let mut cached_tokens: u64 = self
-            .cached_segments
-            .values()
-            .map(|&(n, _)| u64::from(n))
-            .sum();
-        while cached_tokens > available {
+        while self.cached_tokens > available {
             let oldest = self.cached_segments.iter().min_by_key(|(_, (_, at))| *at);
             let Some((&id, &(tokens, _))) = oldest else {
                 return;
             };
             self.cached_segments.remove(&id);
-            cached_tokens -= u64::from(tokens);
+            self.cached_tokens -= u64::from(tokens);
         }
     }
 }
@@ -282,6 +294,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct EnginePool {
     engines: Map<u64, EngineState>,
+    /// The engines on which each peer has reported load.
+    peer_engines: Map<u64, Vec<u64>>,
 }
 
 impl EnginePool {
@@ -455,14 +469,21 @@
 
     /// Replaces the load that the entry `peer` reports on all engines.
     pub fn set_peer_load(&mut self, peer: u64, loads: &[(u64, EngineLoad)]) {
-        for engine in self.engines.values_mut() {
-            engine.peer_loads.remove(&peer);
+        for id in self.peer_engines.remove(&peer).unwrap_or_default() {
+            if let Some(engine) = self.engines.get_mut(&id) {
+                engine.set_peer_load(peer, None);
+            }
         }
-        for (id, load) in loads {
-            if let Some(engine) = self.engines.get_mut(id) {
-                engine.peer_loads.insert(peer, *load);
+        let mut loaded = Vec::with_capacity(loads.len());
+        for &(id, load) in loads {
+            if let Some(engine) = self.engines.get_mut(&id) {
+                engine.set_peer_load(peer, Some(load));
+                loaded.push(id);
             }
         }
+        if !loaded.is_empty() {
+            self.peer_engines.insert(peer, loaded);
+        }
     }
 
     /// Records that another entry sent a prompt with `segments` to an engine.
