Let the reserve cover loans unless tokens are scarce

Change: unless an entry's fair share is below half of its target, its reserve covers twice its unused grants and its target.

--- a/crates/ledger/src/grants.rs
+++ b/crates/ledger/src/grants.rs
@@ -142,7 +142,8 @@
     /// Returns the tokens beyond those required that the reserve should cover.
     ///
     /// Load pattern: partitions from all disks but one last for seconds, and the grants of a
-    /// small team cover few requests. All of them are usable unless tokens are scarce.
+    /// small team cover few requests. All of them and loans are usable unless tokens are
+    /// scarce.
     fn reserve_ahead(&self, has_disk: bool, now: Time) -> u64 {
         let unused = self.unused();
         if has_disk {
@@ -150,10 +151,12 @@
             return expected.min(unused / SCARCE_RESERVE_DIVISOR);
         }
         let target = self.target(now);
-        if self.answer.is_some_and(|answer| answer.fair_share < target) {
+        let is_scarce = |answer: LedgerAnswer| answer.fair_share < target / SCARCE_RESERVE_DIVISOR;
+        if self.answer.is_some_and(is_scarce) {
             unused / SCARCE_RESERVE_DIVISOR
         } else {
-            unused
+            // Peers lend further tokens during a partition.
+            2 * unused + target
         }
     }
 
@@ -637,7 +640,7 @@
             let Some(known) = self.proven_reserve(team) else {
                 continue;
             };
-            let limit = (required + ahead).min(grants.max_limit()).max(known);
+            let limit = (required + ahead).max(known);
             due |= known < required + ahead / 4 * 3 && limit > known;
             limits.push((team.clone(), limit));
         }
