--- a/crates/gateway/src/settlement.rs
+++ b/crates/gateway/src/settlement.rs
@@ -103,7 +103,7 @@
         ended.settlement
     );
     let (reply, answer) = async_channel::bounded(1);
-    let opened = Some(limits.into_iter().collect());
+    let opened = ended.settlement.bound(limits.into_iter().collect());
     group.send(Input::CloseLease(lease, opened, reply));
     // If the command isn't committed, a later round finds the lease again.
     let _ = answer.recv().await;
--- a/crates/ledger/src/quorum.rs
+++ b/crates/ledger/src/quorum.rs
@@ -47,6 +47,17 @@
     Reserve(Vec<KeeperId>),
 }
 
+impl Settlement {
+    /// Returns the bounds of what was spent, by team, from the highest recorded limits.
+    /// `None` if all that was granted counts: without a reserve, nothing bounds what a lost
+    /// disk may have had.
+    #[must_use]
+    pub fn bound(&self, limits: Vec<(String, u64)>) -> Option<Vec<(String, u64)>> {
+        let is_bounded = matches!(self, Self::Spend(_)) || !limits.is_empty();
+        is_bounded.then_some(limits)
+    }
+}
+
 /// Returns the witnesses other than the replica on the entry's own disk.
 fn others(own: Option<KeeperId>, witnesses: &[KeeperId]) -> impl Iterator<Item = KeeperId> + '_ {
     witnesses.iter().copied().filter(move |&id| Some(id) != own)
