Keep a small reserve when few tokens remain

The reserves of leases settled without a disk took half of what little the entries held.

Change: the reserve covers one second of demand when an entry's fair share is below half of its target, half of the unused grants when it is below the target.

--- a/crates/ledger/src/grants.rs
+++ b/crates/ledger/src/grants.rs
@@ -27,12 +27,13 @@
 /// reaches a disk in a few milliseconds, and requests wait for it.
 const MARK_HORIZON: Span = Span::millis(250);
 
-/// Expected demand that the reserve of an entry with a disk of its own covers at most: it
-/// can spend for this long without other witnesses.
-const OWN_DISK_RESERVE_HORIZON: Span = Span::millis(1_000);
+/// Expected demand that the reserve covers for an entry with a disk of its own, which needs
+/// it only if that disk is lost, and for others when few tokens remain.
+const MIN_RESERVE_HORIZON: Span = Span::millis(1_000);
 
 /// Divisor of the unused grants that bounds the reserve ahead when tokens are scarce: a
-/// lost disk then costs at most this part of what the entry holds.
+/// lost disk then costs at most this part of what the entry holds. Few tokens remain when
+/// the fair share is less than this part of the target.
 const SCARCE_RESERVE_DIVISOR: u64 = 2;
 
 /// Time constant of the exponentially decayed demand.
@@ -142,17 +143,16 @@
     /// Returns the tokens beyond those required that the reserve should cover.
     ///
     /// Load pattern: partitions from all disks but one last for seconds, and the grants of a
-    /// small team cover few requests. All of them and loans are usable unless tokens are
-    /// scarce.
+    /// small team cover few requests. All of them and loans are usable while tokens are
+    /// plentiful. When few remain, those that a lost disk costs would be missing afterwards.
     fn reserve_ahead(&self, has_disk: bool, now: Time) -> u64 {
         let unused = self.unused();
-        if has_disk {
-            let expected = self.expected_demand(OWN_DISK_RESERVE_HORIZON, now);
-            return expected.min(unused / SCARCE_RESERVE_DIVISOR);
-        }
         let target = self.target(now);
-        let is_scarce = |answer: LedgerAnswer| answer.fair_share < target / SCARCE_RESERVE_DIVISOR;
-        if self.answer.is_some_and(is_scarce) {
+        let fair_share = self.answer.map_or(target, |answer| answer.fair_share);
+        if has_disk || fair_share < target / SCARCE_RESERVE_DIVISOR {
+            let expected = self.expected_demand(MIN_RESERVE_HORIZON, now);
+            expected.min(unused / SCARCE_RESERVE_DIVISOR)
+        } else if fair_share < target {
             unused / SCARCE_RESERVE_DIVISOR
         } else {
             // Peers lend further tokens during a partition.
