Move the replicas' messages out of the gateway's mesh

Change: sending of consensus messages has a module of its own; the functions are moved as they were.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`metrics`]: request counters and latency histograms.
 //! - [`outbox`]: the queue of consensus messages to one replica.
 //! - [`process`]: startup, settings reload and shutdown of a process.
+//! - [`replica_messages`]: messages of the replicated log to other replicas.
 //! - [`replicated_state`]: the state machine of the replicated log.
 //! - [`settlement`]: closes leases that have ended.
 //! - [`state`]: the shared state of a process.
@@ -28,6 +29,7 @@
 pub mod metrics;
 pub mod outbox;
 pub mod process;
+pub mod replica_messages;
 pub mod replicated_state;
 pub mod settlement;
 pub mod state;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -9,12 +9,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_channel::Receiver;
 use async_io::Timer;
 use base::KeeperId;
 use base::Span;
 use base::Time;
-use consensus::Envelope;
 use fleet::mesh::Member;
 use fleet::mesh::MeshRequest;
 use fleet::mesh::MeshResponse;
@@ -47,10 +45,6 @@
 /// Maximum wait for a peer's response to an update.
 const UPDATE_TIMEOUT: Span = Span::millis(600);
 
-/// Maximum wait for a peer to accept consensus messages: a megabyte takes half a second
-/// on the slowest links.
-const REPLICA_MESSAGE_TIMEOUT: Span = Span::millis(1_000);
-
 /// Maximum wait for one response of the leader.
 pub const LEADER_TIMEOUT: Span = Span::millis(500);
 
@@ -676,60 +670,6 @@
     }
 }
 
-/// Sends consensus messages, batched per replica and in order.
-pub async fn send_replica_messages(shared: Arc<ProcessContext>, envelopes: Receiver<Envelope>) {
-    while let Ok(envelope) = envelopes.recv().await {
-        let keeper = envelope.to;
-        shared.outboxes().entry(keeper).or_default().push(envelope);
-        // Messages that were produced together are sent together.
-        if envelopes.is_empty() {
-            start_batches(&shared);
-        }
-    }
-}
-
-/// Starts a batch to each replica that has queued messages and no batch in flight.
-fn start_batches(shared: &Arc<ProcessContext>) {
-    let mut ready = Vec::new();
-    for (&keeper, outbox) in shared.outboxes().iter_mut() {
-        if let Some(batch) = outbox.next_batch() {
-            ready.push((keeper, batch));
-        }
-    }
-    for (keeper, batch) in ready {
-        let shared = Arc::clone(shared);
-        let pool = shared.pool.clone();
-        pool.spawn(async move { send_batches(&shared, keeper, batch).await });
-    }
-}
-
-/// Sends batches to a replica until its queue is empty.
-async fn send_batches(shared: &ProcessContext, keeper: KeeperId, first: Vec<Envelope>) {
-    let mut next = Some(first);
-    while let Some(batch) = next {
-        let address = {
-            let state = shared.state();
-            let mut peers = state.peers.values();
-            let found = peers.find(|peer| peer.member.keeper == Some(keeper));
-            found.map(|peer| peer.member.address)
-        };
-        if let Some(address) = address {
-            // The consensus protocol sends lost messages again.
-            let _ = request_peer(
-                shared,
-                address,
-                MeshRequest::Replica(batch),
-                REPLICA_MESSAGE_TIMEOUT,
-            )
-            .await;
-        }
-        let mut outboxes = shared.outboxes();
-        let outbox = outboxes.entry(keeper).or_default();
-        outbox.finish_batch();
-        next = outbox.next_batch();
-    }
-}
-
 /// Asks to join the group while the local replica isn't a member, or hears no leader
 /// while other processes do: it may have been removed while it was partitioned.
 pub async fn join_group(shared: Arc<ProcessContext>) {
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -30,6 +30,7 @@
 use crate::group::Input;
 use crate::group::Output;
 use crate::mesh;
+use crate::replica_messages;
 use crate::settlement;
 use crate::state::ProcessContext;
 use crate::witness;
@@ -168,7 +169,7 @@
     ) {
         let pool = &self.shared.pool;
         pool.spawn(handle_outputs(Arc::clone(&self.shared), outputs));
-        pool.spawn(mesh::send_replica_messages(
+        pool.spawn(replica_messages::send_replica_messages(
             Arc::clone(&self.shared),
             envelopes,
         ));
