Move requests to the leader out of the gateway's mesh

Change: requests to the leader and joining the group have a module of their own; the functions are moved as they were, two are public to the crate's modules now.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -12,9 +12,9 @@
 use futures_lite::FutureExt as _;
 use ledger::allowance::Lease;
 
-use crate::mesh::LEADER_TIMEOUT;
+use crate::leader_requests::LEADER_TIMEOUT;
+use crate::leader_requests::request_leader;
 use crate::mesh::reachable_peers;
-use crate::mesh::request_leader;
 use crate::mesh::request_peer;
 use crate::state::ProcessContext;
 use crate::witness;
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -24,7 +24,7 @@
 use routing::directory::DirectoryUpdate;
 
 use crate::conn::Conn;
-use crate::mesh;
+use crate::leader_requests;
 use crate::state::ProcessContext;
 
 /// Maximum length of a request head, in bytes.
@@ -205,7 +205,7 @@
     }
     let version = site.version;
     let request = MeshRequest::Submit(version, body.to_vec());
-    match mesh::request_leader(shared, &request, CONFIG_TIMEOUT).await {
+    match leader_requests::request_leader(shared, &request, CONFIG_TIMEOUT).await {
         MeshResponse::Version(newest) => {
             log::info!(
                 "config: event=submit version={version} outcome=acknowledged newest={newest}"
@@ -231,7 +231,8 @@
 }
 
 async fn fetch_config(shared: &Arc<ProcessContext>) -> (u16, Vec<u8>) {
-    match mesh::request_leader(shared, &MeshRequest::LatestConfig, CONFIG_TIMEOUT).await {
+    match leader_requests::request_leader(shared, &MeshRequest::LatestConfig, CONFIG_TIMEOUT).await
+    {
         MeshResponse::Config(version, body) if version > 0 => {
             let response = body.clone();
             shared.apply_config(version, body);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,7 +7,8 @@
 //! - [`forwarding`]: forwards one request to engines.
 //! - [`frontend`]: the HTTP server for callers.
 //! - [`group`]: the consensus driver, a thread that owns a replica and its disk.
-//! - [`mesh`]: state updates between processes and requests to the leader.
+//! - [`leader_requests`]: requests to the group's leader, and joining the group.
+//! - [`mesh`]: state updates between processes.
 //! - [`metrics`]: request counters and latency histograms.
 //! - [`outbox`]: the queue of consensus messages to one replica.
 //! - [`process`]: startup, settings reload and shutdown of a process.
@@ -25,6 +26,7 @@
 pub mod forwarding;
 pub mod frontend;
 pub mod group;
+pub mod leader_requests;
 pub mod mesh;
 pub mod metrics;
 pub mod outbox;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -10,7 +10,6 @@
 use std::time::Duration;
 
 use async_io::Timer;
-use base::KeeperId;
 use base::Span;
 use base::Time;
 use fleet::mesh::Member;
@@ -23,9 +22,9 @@
 use routing::placement::EnginePool;
 
 use crate::budget;
-use crate::group::Group;
 use crate::group::Input;
-use crate::group::JoinRequest;
+use crate::leader_requests::request_leader_directly;
+use crate::leader_requests::request_local_leader;
 use crate::state::PEER_TIMEOUT;
 use crate::state::Peer;
 use crate::state::ProcessContext;
@@ -45,21 +44,12 @@
 /// Maximum wait for a peer's response to an update.
 const UPDATE_TIMEOUT: Span = Span::millis(600);
 
-/// Maximum wait for one response of the leader.
-pub const LEADER_TIMEOUT: Span = Span::millis(500);
-
 /// Maximum wait for the leader's response to a request forwarded for another process.
 const FORWARDED_REQUEST_TIMEOUT: Span = Span::millis(300);
 
-/// Maximum wait for a peer that forwards a request to the leader.
-const FORWARD_TIMEOUT: Span = Span::millis(400);
-
 /// Time without a message from a peer after which it doesn't count as reachable.
 pub const REACHABLE_TIMEOUT: Span = Span::millis(700);
 
-/// Delay before a request to the leader is repeated.
-const LEADER_RETRY_DELAY: Duration = Duration::from_millis(40);
-
 /// Gap between two rounds of updates above which it is logged: the process was
 /// suspended or very slow.
 const MAX_ROUND_GAP: Span = Span::millis(1_000);
@@ -73,13 +63,6 @@
 /// Time without a message after which a joining replica may replace another one.
 pub const REPLACEMENT_TIMEOUT: Span = Span::millis(6_000);
 
-/// Time without a leader after which a replica asks to join again. Elections take at
-/// most a second or two.
-const LEADER_LOSS_TIMEOUT: Span = Span::millis(2_500);
-
-/// Time between two requests to join the group.
-pub const JOIN_INTERVAL: Duration = Duration::from_millis(300);
-
 /// Time after the start in which a process doesn't serve with a configuration that the
 /// group hasn't confirmed.
 const CONFIRMATION_TIMEOUT: Span = Span::millis(1_500);
@@ -151,68 +134,6 @@
     }
 }
 
-/// Sends a request to the local replica, which leads.
-async fn request_local_leader(
-    shared: &ProcessContext,
-    group: &Group,
-    request: MeshRequest,
-) -> MeshResponse {
-    let (reply, answer) = async_channel::bounded(1);
-    let input = match request {
-        MeshRequest::Submit(version, body) => {
-            let Ok(site) = platform::site::parse(&body) else {
-                return MeshResponse::Unavailable;
-            };
-            let teams = site.teams.into_iter().flatten();
-            let budgets = teams.filter_map(|team| Some((team.name, team.budget?)));
-            Input::SubmitConfig(version, body, budgets.collect(), reply)
-        }
-        MeshRequest::LatestConfig => Input::ReadConfig(reply),
-        MeshRequest::Draw(lease, demands) => Input::DrawGrants(lease, demands, reply),
-        MeshRequest::Join(id, disk, address) => {
-            Input::JoinGroup(join_request(shared, id, disk, address), reply)
-        }
-        MeshRequest::Update(_)
-        | MeshRequest::Replica(_)
-        | MeshRequest::CurrentConfig
-        | MeshRequest::Lend(_)
-        | MeshRequest::Mark(_)
-        | MeshRequest::MarkVia(..)
-        | MeshRequest::Fence(_)
-        | MeshRequest::Forward(_) => return MeshResponse::Unavailable,
-    };
-    group.send(input);
-    let expired = async {
-        Timer::after(LEADER_TIMEOUT.into()).await;
-        MeshResponse::Unavailable
-    };
-    let decided = async { answer.recv().await.unwrap_or(MeshResponse::Unavailable) };
-    decided.or(expired).await
-}
-
-/// Builds the request of a replica to join the group.
-fn join_request(
-    shared: &ProcessContext,
-    id: KeeperId,
-    disk: u64,
-    address: SocketAddr,
-) -> JoinRequest {
-    let now = shared.now();
-    let state = shared.state();
-    let heard = state
-        .peers
-        .values()
-        .filter(|peer| peer.last_heard.until(now) < REPLACEMENT_TIMEOUT);
-    let present: Vec<KeeperId> = heard.filter_map(|peer| peer.member.keeper).collect();
-    JoinRequest {
-        id,
-        disk,
-        address,
-        lost_replicas: state.lost_replicas.clone(),
-        present_replicas: (Span(now.0) > REPLACEMENT_TIMEOUT).then_some(present),
-    }
-}
-
 /// Returns the peers that can be reached directly, without the leader.
 pub fn reachable_peers(shared: &ProcessContext) -> Vec<SocketAddr> {
     let now = shared.now();
@@ -228,64 +149,6 @@
         .collect()
 }
 
-/// Sends a request to the leader, directly for at most `timeout` and then through a
-/// peer.
-pub async fn request_leader(
-    shared: &ProcessContext,
-    request: &MeshRequest,
-    timeout: Span,
-) -> MeshResponse {
-    let answer = request_leader_directly(shared, request, timeout).await;
-    if !matches!(
-        answer,
-        MeshResponse::Unavailable | MeshResponse::NotLeader(_)
-    ) {
-        return answer;
-    }
-    let forwarder = fastrand::choice(reachable_peers(shared));
-    let Some(address) = forwarder else {
-        return MeshResponse::Unavailable;
-    };
-    let request = MeshRequest::Forward(Box::new(request.clone()));
-    request_peer(shared, address, request, FORWARD_TIMEOUT)
-        .await
-        .unwrap_or(MeshResponse::Unavailable)
-}
-
-/// Sends a request to the leader and repeats it on failure, for at most `timeout`.
-async fn request_leader_directly(
-    shared: &ProcessContext,
-    request: &MeshRequest,
-    timeout: Span,
-) -> MeshResponse {
-    let deadline = shared.now() + timeout;
-    let mut hint = None;
-    loop {
-        let leader = hint.take().or(shared.state().leader);
-        let answer = match (leader, &shared.group) {
-            (Some(address), Some(group)) if address == shared.own_member.address => {
-                request_local_leader(shared, group, request.clone()).await
-            }
-            (Some(address), _) => {
-                let peer_timeout = LEADER_TIMEOUT.min(shared.now().until(deadline));
-                request_peer(shared, address, request.clone(), peer_timeout)
-                    .await
-                    .unwrap_or(MeshResponse::Unavailable)
-            }
-            (None, _) => MeshResponse::NotLeader(None),
-        };
-        match answer {
-            MeshResponse::NotLeader(found) => hint = found.filter(|_| leader != found),
-            MeshResponse::Unavailable => {}
-            decided => return decided,
-        }
-        if shared.now() + Span::millis(60) >= deadline {
-            return MeshResponse::Unavailable;
-        }
-        Timer::after(LEADER_RETRY_DELAY).await;
-    }
-}
-
 /// Sends a request to one peer; returns `None` if it doesn't respond.
 pub async fn request_peer(
     shared: &ProcessContext,
@@ -669,47 +532,3 @@
         group.send(Input::FormGroup);
     }
 }
-
-/// Asks to join the group while the local replica isn't a member, or hears no leader
-/// while other processes do: it may have been removed while it was partitioned.
-pub async fn join_group(shared: Arc<ProcessContext>) {
-    let Some(group) = &shared.group else {
-        return;
-    };
-    let mut leaderless_since: Option<Time> = None;
-    loop {
-        Timer::after(JOIN_INTERVAL).await;
-        let now = shared.now();
-        let (joined, leader, told_leader) = {
-            let state = shared.state();
-            (state.is_member, state.leader, state.reported_leader)
-        };
-        leaderless_since = leaderless_since.or(Some(now)).filter(|_| leader.is_none());
-        let request = MeshRequest::Join(group.id(), group.disk(), shared.own_member.address);
-        // The responses are ignored: membership shows whether the request succeeded.
-        if !joined && leader.is_some() {
-            let _ = request_leader(&shared, &request, LEADER_TIMEOUT).await;
-        } else if joined
-            && leaderless_since.is_some_and(|since| since.until(now) > LEADER_LOSS_TIMEOUT)
-            && let Some(leader) = told_leader
-        {
-            log::info!("group: event=join leader={leader} reason=\"no message from a leader\"");
-            let _ = request_peer(&shared, leader, request, LEADER_TIMEOUT).await;
-        }
-    }
-}
-
-/// Asks for the latest configuration until the group has confirmed it.
-pub async fn confirm_config(shared: Arc<ProcessContext>) {
-    while !shared.state().config_confirmed {
-        if let MeshResponse::Config(version, body) =
-            request_leader(&shared, &MeshRequest::LatestConfig, LEADER_TIMEOUT).await
-            && shared.apply_config(version, body)
-        {
-            shared.state().config_confirmed = true;
-            log::info!("config: event=confirmed version={version}");
-            return;
-        }
-        Timer::after(LEADER_RETRY_DELAY).await;
-    }
-}
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -29,6 +29,7 @@
 use crate::group::GroupOptions;
 use crate::group::Input;
 use crate::group::Output;
+use crate::leader_requests;
 use crate::mesh;
 use crate::replica_messages;
 use crate::settlement;
@@ -174,8 +175,8 @@
             envelopes,
         ));
         pool.spawn(mesh::send_updates(Arc::clone(&self.shared)));
-        pool.spawn(mesh::join_group(Arc::clone(&self.shared)));
-        pool.spawn(mesh::confirm_config(Arc::clone(&self.shared)));
+        pool.spawn(leader_requests::join_group(Arc::clone(&self.shared)));
+        pool.spawn(leader_requests::confirm_config(Arc::clone(&self.shared)));
         pool.spawn(budget::draw_grants(Arc::clone(&self.shared)));
         pool.spawn(budget::borrow_tokens(Arc::clone(&self.shared)));
         pool.spawn(witness::record_marks(Arc::clone(&self.shared)));
