Log what each request is charged, teams' balances, loans and losses per team

Change: request: event=settled at the end of each charge; budget: event=balance per team, event=lent at the lender, teams= in event=lease_closed.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -145,6 +145,9 @@
             }
         }
     }
+    if !lent.is_empty() {
+        log::info!("budget: event=lent teams={lent:?}");
+    }
     // The next mark opens more tokens for the peer's next request.
     shared.grants_needed.notify(usize::MAX);
     MeshResponse::Lent(lent)
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -306,6 +306,7 @@
                 Ok(lease) => {
                     return Ok(ChargeGuard {
                         shared: self.shared,
+                        request_id: self.request.metadata.id.as_deref().unwrap_or("-"),
                         lease,
                         team: team.to_owned(),
                         charged: max_tokens,
--- a/crates/gateway/src/forwarding/guards.rs
+++ b/crates/gateway/src/forwarding/guards.rs
@@ -11,6 +11,8 @@
 pub struct ChargeGuard<'a> {
     /// The state of the process.
     pub shared: &'a ProcessContext,
+    /// The request's identifier.
+    pub request_id: &'a str,
     /// The lease under which the request was charged.
     pub lease: u64,
     /// The team.
@@ -26,6 +28,12 @@
         let mut state = self.shared.state();
         let (lease, charged, used) = (self.lease, self.charged, self.used);
         state.grants.settle(lease, &self.team, charged, used);
+        drop(state);
+        log::info!(
+            "request: id={} event=settled lease={lease:x} team={} charged={charged} used={used}",
+            self.request_id,
+            self.team
+        );
     }
 }
 
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -66,7 +66,7 @@
 /// closed. Partitions of single instances are shorter.
 const HOLDER_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Time between two log lines with the sums of the allowances.
+/// Time between two logs of the teams' balances.
 const SUMS_LOG_INTERVAL: Duration = Duration::from_secs(5);
 
 /// The channel for the response to an input.
@@ -418,7 +418,7 @@
         }
     }
 
-    /// Logs the sums of the allowances if this replica leads.
+    /// Logs the teams' balances and their sums if this replica leads.
     fn log_sums(&mut self) {
         if self.local.replica.role() != Role::Leader
             || self.sums_logged.elapsed() < SUMS_LOG_INTERVAL
@@ -426,7 +426,18 @@
             return;
         }
         self.sums_logged = Instant::now();
-        let (total, used, held) = self.local.state.allowances.sums();
+        let (mut total, mut used, mut held) = (0, 0, 0);
+        for (team, balance) in self.local.state.allowances.balances() {
+            total += balance.total;
+            used += balance.used;
+            held += balance.held;
+            log::info!(
+                "budget: event=balance team={team} total={} used={} held={}",
+                balance.total,
+                balance.used,
+                balance.held
+            );
+        }
         log::info!("budget: event=sums total={total} used={used} held={held}");
     }
 
@@ -716,7 +727,10 @@
             _ if pending.term != term => MeshResponse::Unavailable,
             Outcome::ConfigAccepted(version) => MeshResponse::Version(version),
             Outcome::LeaseClosed(unproven) => {
-                log::info!("budget: event=lease_closed index={index} unproven={unproven}");
+                let sum: u64 = unproven.iter().map(|(_, tokens)| tokens).sum();
+                log::info!(
+                    "budget: event=lease_closed index={index} unproven={sum} teams={unproven:?}"
+                );
                 MeshResponse::Done
             }
             Outcome::AddressRecorded => MeshResponse::Done,
--- a/crates/gateway/src/replicated_state.rs
+++ b/crates/gateway/src/replicated_state.rs
@@ -53,9 +53,9 @@
 pub enum Outcome {
     /// The highest accepted version of the configuration.
     ConfigAccepted(u64),
-    /// The lease is closed. Contains the number of tokens that now count as spent beyond
-    /// what its entry had reported.
-    LeaseClosed(u64),
+    /// The lease is closed. Contains, for each team, the tokens that now count as spent
+    /// beyond what its entry had reported.
+    LeaseClosed(Vec<(String, u64)>),
     /// The address is recorded.
     AddressRecorded,
     /// The tokens granted; `None` if the lease has ended.
--- a/crates/ledger/src/allowance.rs
+++ b/crates/ledger/src/allowance.rs
@@ -174,6 +174,17 @@
     pub witnesses: Vec<KeeperId>,
 }
 
+/// The state of a team's account, in tokens.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Balance {
+    /// The team's total.
+    pub total: u64,
+    /// Tokens that are spent or held by leases.
+    pub used: u64,
+    /// The part of `used` that leases hold unspent, as far as the ledger knows.
+    pub held: u64,
+}
+
 /// All teams' accounts.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Allowances {
@@ -246,13 +257,19 @@
     /// Closes a lease. `limits` bounds what its entry can have spent of each team's
     /// grants; without it, all of them count as spent.
     ///
-    /// Returns the tokens that now count as spent beyond what the entry had reported.
-    pub fn close(&mut self, lease: u64, limits: Option<&[(String, u64)]>, at: u64) -> u64 {
+    /// Returns, for each team, the tokens that now count as spent beyond what the entry had
+    /// reported; teams without any are left out.
+    pub fn close(
+        &mut self,
+        lease: u64,
+        limits: Option<&[(String, u64)]>,
+        at: u64,
+    ) -> Vec<(String, u64)> {
+        let mut unproven = Vec::new();
         if self.leases.remove(&lease).is_none() {
-            return 0;
+            return unproven;
         }
         self.tombstones.insert(lease, at);
-        let mut unproven = 0;
         for (team, account) in &mut self.accounts {
             let Some(grant) = account.grants.remove(&lease) else {
                 continue;
@@ -264,7 +281,9 @@
             });
             let spent = bound.map_or(max_spent, |bound| bound.min(max_spent));
             account.settled += spent;
-            unproven += spent.saturating_sub(grant.spent);
+            if spent > grant.spent {
+                unproven.push((team.clone(), spent - grant.spent));
+            }
         }
         unproven
     }
@@ -331,18 +350,15 @@
         }
     }
 
-    /// Returns the sums over all teams: the totals, the tokens spent or held by leases,
-    /// and the tokens held unspent as far as the ledger knows.
-    #[must_use]
-    pub fn sums(&self) -> (u64, u64, u64) {
-        let accounts = self.accounts.values();
-        accounts.fold((0, 0, 0), |(total, used, held), account| {
-            let unspent: u64 = account.grants.values().map(Grant::held).sum();
-            (
-                total + account.total,
-                used + account.allocated(),
-                held + unspent,
-            )
+    /// Returns the balances of all teams, by name.
+    pub fn balances(&self) -> impl Iterator<Item = (&str, Balance)> {
+        self.accounts.iter().map(|(team, account)| {
+            let balance = Balance {
+                total: account.total,
+                used: account.allocated(),
+                held: account.held(),
+            };
+            (team.as_str(), balance)
         })
     }
 
