Charge nothing for an abandoned request that its engine never began

Cause: a request whose caller leaves before the first event was charged its whole prompt.

Change: the connection of an abandoned request is shut down for writing and read to its end, for at most 300 ms. The engine hasn't begun if it says so, or closes in order without a byte of an answer: what it had sent before would arrive first. Only then the charge is refunded. A reset, a time-out or any byte keeps it.

--- a/crates/gateway/src/conn.rs
+++ b/crates/gateway/src/conn.rs
@@ -165,12 +165,16 @@
         }
     }
 
+    /// Shuts down one or both directions. The peer may have closed already.
+    pub fn shutdown(&self, direction: Shutdown) {
+        let _ = self.stream.get_ref().shutdown(direction);
+    }
+
     /// Shuts down the sending side, then reads and discards what the peer sends for up to
     /// `timeout`: a close with unread bytes would reset the connection, and the peer might
     /// lose what was written.
     pub async fn linger(&mut self, timeout: Duration) {
-        // The peer may have closed already.
-        let _ = self.stream.get_ref().shutdown(Shutdown::Write);
+        self.shutdown(Shutdown::Write);
         let drain = async {
             while let Ok(read) = self.fill().await {
                 self.buf.clear();
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -3,10 +3,12 @@
 //!
 //! Its inputs are a request and its caller's connection.
 //!
+//! - [`cancellation`]: cancels a request at its engine.
 //! - [`guards`]: guards that release a charge and an engine's load when dropped.
 //! - [`rejection`]: the causes for which the gateway rejects a request.
 //! - [`response`]: an engine's response, buffered or streamed to the caller.
 
+mod cancellation;
 mod guards;
 mod rejection;
 mod response;
@@ -33,6 +35,9 @@
 use routing::placement::PlacementError;
 use routing::placement::PlacementRequest;
 
+use self::cancellation::AbandonedConn;
+use self::cancellation::EngineConn;
+use self::guards::Charge;
 use self::guards::ChargeGuard;
 use self::guards::DispatchGuard;
 use self::rejection::RejectionCause;
@@ -119,7 +124,7 @@
 
 /// The state of one request while it's forwarded.
 struct RequestForwarder<'a> {
-    shared: &'a ProcessContext,
+    shared: &'a Arc<ProcessContext>,
     request: &'a Request,
     route: &'a Route,
     service: &'a str,
@@ -140,6 +145,8 @@
     first_event: Option<Time>,
     /// The charge, if the team has a prepaid budget.
     charge: Option<ChargeGuard<'a>>,
+    /// Receives the connection to the engine if the request is dropped.
+    abandoned: AbandonedConn,
     /// Whether the connection to the engine can be reused.
     reuse: ConnectionReuse,
 }
@@ -170,7 +177,7 @@
     })
 }
 
-async fn respond(shared: &ProcessContext, request: &Request, caller: &Conn) -> RequestOutcome {
+async fn respond(shared: &Arc<ProcessContext>, request: &Request, caller: &Conn) -> RequestOutcome {
     let site = shared.state().site_index.clone();
     let outcome = match &site {
         None => Err(RejectionCause::Unconfigured),
@@ -222,7 +229,7 @@
 }
 
 async fn admit(
-    shared: &ProcessContext,
+    shared: &Arc<ProcessContext>,
     site: &SiteIndex,
     request: &Request,
     caller: &Conn,
@@ -271,6 +278,7 @@
         execution_count: 0,
         first_event: None,
         charge: None,
+        abandoned: AbandonedConn::default(),
         reuse: ConnectionReuse::Close,
     };
     let prepaid_team =
@@ -306,11 +314,15 @@
                 Ok(lease) => {
                     return Ok(ChargeGuard {
                         shared: self.shared,
-                        request_id: self.request.metadata.id.as_deref().unwrap_or("-"),
-                        lease,
-                        team: team.to_owned(),
-                        charged: max_tokens,
-                        used: 0,
+                        charge: Charge {
+                            request_id: self.request.metadata.id.clone(),
+                            lease,
+                            team: team.to_owned(),
+                            charged: max_tokens,
+                            used: 0,
+                        },
+                        started: false,
+                        abandoned: self.abandoned.clone(),
                     });
                 }
                 Err(ChargeError::Exhausted) => return Err(RejectionCause::BudgetExhausted),
@@ -447,10 +459,11 @@
     /// `in_flight_events` may have arrived in addition to those counted.
     fn set_charge(&mut self, executed: bool, in_flight_events: u64) {
         let event_count = self.event_count + in_flight_events;
-        if let Some(charge) = &mut self.charge {
+        if let Some(guard) = &mut self.charge {
             let metadata = &self.request.metadata;
             let output = (event_count * self.event_tokens).min(metadata.max_output);
-            charge.used = if executed {
+            guard.started |= self.execution_count > 0;
+            guard.charge.used = if executed {
                 metadata.prompt_tokens + output
             } else {
                 0
@@ -563,7 +576,7 @@
         };
         let now = self.shared.now();
         let idle_conn = self.shared.state().connections.acquire(engine.address, now);
-        let mut conn = match idle_conn {
+        let conn = match idle_conn {
             Some(conn) => conn,
             None => {
                 match Conn::connect(
@@ -580,6 +593,7 @@
                 }
             }
         };
+        let mut conn = EngineConn::new(conn, self.abandoned.clone());
         let mut out = Vec::with_capacity(1_024 + self.request.body.len());
         let upstream = UpstreamRequest {
             engine: &engine.id,
@@ -617,6 +631,7 @@
             .or(timed_out)
             .await
             .unwrap_or(AttemptOutcome::TimedOut);
+        let conn = conn.into_inner();
         if let ConnectionReuse::KeepAlive(idle_s) = self.reuse
             && fully_sent
         {
--- /dev/null
+++ b/crates/gateway/src/forwarding/cancellation.rs
@@ -0,0 +1,117 @@
+//! Cancels a request at its engine and finds out whether the engine had begun to answer it.
+
+use std::net::Shutdown;
+use std::ops::Deref;
+use std::ops::DerefMut;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::FutureExt as _;
+use http::ResponseHead;
+use platform::headers;
+use platform::headers::Execution;
+
+use super::response::MAX_HEAD_BYTES;
+use crate::conn::Conn;
+
+/// Maximum wait for an engine to drop a request whose connection was shut down; after it
+/// the connection is closed.
+const CANCEL_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Receives the connection of a request that is dropped while its engine works on it.
+#[derive(Clone, Debug, Default)]
+pub struct AbandonedConn(Arc<Mutex<Option<Conn>>>);
+
+impl AbandonedConn {
+    /// Takes the connection, if a request was dropped on one.
+    pub fn take(&self) -> Option<Conn> {
+        self.0
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take()
+    }
+}
+
+/// A connection on which an engine works on a request. When dropped, it's left in an
+/// [`AbandonedConn`].
+#[derive(Debug)]
+pub struct EngineConn {
+    /// The connection; `None` only once it was taken.
+    conn: Option<Conn>,
+    abandoned: AbandonedConn,
+}
+
+impl EngineConn {
+    /// Wraps a connection that is left in `abandoned` if the request is dropped.
+    pub fn new(conn: Conn, abandoned: AbandonedConn) -> Self {
+        Self {
+            conn: Some(conn),
+            abandoned,
+        }
+    }
+
+    /// Returns the connection once the engine has ended its work on the request.
+    ///
+    /// # Panics
+    ///
+    /// Never panics: nothing else takes the connection.
+    pub fn into_inner(mut self) -> Conn {
+        self.conn.take().expect("the connection is taken once")
+    }
+}
+
+impl Deref for EngineConn {
+    type Target = Conn;
+
+    fn deref(&self) -> &Conn {
+        self.conn.as_ref().expect("the connection is taken once")
+    }
+}
+
+impl DerefMut for EngineConn {
+    fn deref_mut(&mut self) -> &mut Conn {
+        self.conn.as_mut().expect("the connection is taken once")
+    }
+}
+
+impl Drop for EngineConn {
+    fn drop(&mut self) {
+        if let Some(conn) = self.conn.take() {
+            let slot = &self.abandoned.0;
+            *slot.lock().unwrap_or_else(PoisonError::into_inner) = Some(conn);
+        }
+    }
+}
+
+/// Cancels the request `id` on its connection. Returns whether the engine has proved that
+/// it never began to answer: it says so, or it closes the connection in order and without
+/// a byte of an answer. What it sent before it saw the end of the connection would arrive
+/// before its own end.
+pub async fn cancel_unstarted(mut conn: Conn, id: Option<&str>) -> bool {
+    conn.shutdown(Shutdown::Write);
+    let ended = async {
+        loop {
+            // The method decides only how a body is framed.
+            match ResponseHead::parse(&conn.buf, MAX_HEAD_BYTES, "POST") {
+                Ok(Some((head, _))) => {
+                    return headers::execution(&head, id) == Execution::NotExecuted;
+                }
+                Ok(None) => {}
+                Err(_) => return false,
+            }
+            match conn.fill().await {
+                Ok(0) => return conn.buf.is_empty(),
+                Ok(_) => {}
+                Err(_) => return false,
+            }
+        }
+    };
+    let timed_out = async {
+        Timer::after(CANCEL_TIMEOUT).await;
+        false
+    };
+    ended.or(timed_out).await
+}
--- a/crates/gateway/src/forwarding/guards.rs
+++ b/crates/gateway/src/forwarding/guards.rs
@@ -1,18 +1,34 @@
 //! Guards that release a request's charge and its load on an engine when they are dropped,
 //! however the request ends.
 
+use std::sync::Arc;
+
 use base::Span;
 use routing::placement::EngineChoice;
 use routing::placement::EngineLoad;
 
+use super::cancellation;
+use super::cancellation::AbandonedConn;
 use crate::state::ProcessContext;
 
-/// A charge against a team's budget, settled when dropped.
+/// A charge against a team's budget, settled when dropped. If the request is dropped before
+/// its engine has begun to answer, the engine is asked first.
 pub struct ChargeGuard<'a> {
     /// The state of the process.
-    pub shared: &'a ProcessContext,
+    pub shared: &'a Arc<ProcessContext>,
+    /// The charge.
+    pub charge: Charge,
+    /// Whether an engine has begun to answer, or may have executed an earlier attempt.
+    pub started: bool,
+    /// The connection that the request leaves if it's dropped.
+    pub abandoned: AbandonedConn,
+}
+
+/// The tokens charged for a request.
+#[derive(Clone, Debug, Default)]
+pub struct Charge {
     /// The request's identifier.
-    pub request_id: &'a str,
+    pub request_id: Option<String>,
     /// The lease under which the request was charged.
     pub lease: u64,
     /// The team.
@@ -23,20 +39,41 @@
     pub used: u64,
 }
 
-impl Drop for ChargeGuard<'_> {
-    fn drop(&mut self) {
-        let mut state = self.shared.state();
-        let (lease, charged, used) = (self.lease, self.charged, self.used);
-        state.grants.settle(lease, &self.team, charged, used);
+impl Charge {
+    /// Settles the charge with the tokens used.
+    fn settle(&self, shared: &ProcessContext) {
+        let mut state = shared.state();
+        let (charged, used) = (self.charged, self.used);
+        state.grants.settle(self.lease, &self.team, charged, used);
         drop(state);
         log::info!(
-            "request: id={} event=settled lease={lease:x} team={} charged={charged} used={used}",
-            self.request_id,
+            "request: id={} event=settled lease={:x} team={} charged={charged} used={used}",
+            self.request_id.as_deref().unwrap_or("-"),
+            self.lease,
             self.team
         );
     }
 }
 
+impl Drop for ChargeGuard<'_> {
+    fn drop(&mut self) {
+        let mut charge = std::mem::take(&mut self.charge);
+        let abandoned = self.abandoned.take().filter(|_| !self.started);
+        let Some(conn) = abandoned else {
+            charge.settle(self.shared);
+            return;
+        };
+        let shared = Arc::clone(self.shared);
+        let pool = shared.pool.clone();
+        pool.spawn(async move {
+            if cancellation::cancel_unstarted(conn, charge.request_id.as_deref()).await {
+                charge.used = 0;
+            }
+            charge.settle(&shared);
+        });
+    }
+}
+
 /// A request dispatched to an engine, removed from the engine's load when dropped.
 pub struct DispatchGuard<'a> {
     /// The state of the process.
--- a/crates/gateway/src/forwarding/response.rs
+++ b/crates/gateway/src/forwarding/response.rs
@@ -18,7 +18,7 @@
 use crate::conn::Conn;
 
 /// Maximum length of the head of an engine's response, in bytes.
-const MAX_HEAD_BYTES: usize = 64 << 10;
+pub(super) const MAX_HEAD_BYTES: usize = 64 << 10;
 
 /// Maximum number of interim responses (status 1xx) before a response.
 const MAX_INTERIM_RESPONSES: usize = 16;
@@ -61,7 +61,7 @@
             }
         };
         match headers::execution(&head, self.request.metadata.id.as_deref()) {
-            Execution::Executed => {}
+            Execution::Executed => self.mark_started(),
             Execution::NotExecuted | Execution::WrongInstance => {
                 return AttemptOutcome::NotExecuted;
             }
@@ -89,6 +89,13 @@
         }
     }
 
+    /// Records that an engine has begun to answer.
+    fn mark_started(&mut self) {
+        if let Some(charge) = &mut self.charge {
+            charge.started = true;
+        }
+    }
+
     /// Marks the connection as reusable if the engine keeps it open and no bytes are unread.
     fn update_reuse(&mut self, conn: &Conn, head: &ResponseHead) {
         if !head.connection_close && conn.buf.is_empty() {
