Block prompt segments on which engines crash

Cause: no process related a crash to the prompts that the engine had begun, and a request that had taken its engine down was sent to another one.

Change: an engine that closes a connection before the first event makes the request's shared segments suspect.

--- a/crates/fleet/src/mesh.rs
+++ b/crates/fleet/src/mesh.rs
@@ -8,6 +8,7 @@
 use ledger::allowance::GrantReply;
 use ledger::allowance::HighWaterMark;
 use ledger::allowance::Lease;
+use routing::crash_suspects::CrashNews;
 use routing::directory::EngineAnnouncement;
 use routing::metadata::PromptSegment;
 use routing::placement::EngineLoad;
@@ -104,6 +105,8 @@
     Fence(u64),
     /// A request to the leader, for the receiver to pass on.
     Forward(Box<MeshRequest>),
+    /// Tells a peer of engines that crashed and of prompt segments that are blocked.
+    CrashNews(Box<CrashNews>),
 }
 
 /// The response to a [`MeshRequest`].
--- /dev/null
+++ b/crates/gateway/src/crash_news.rs
@@ -0,0 +1,67 @@
+//! Exchanges with peers what is known of prompt segments that crash engines.
+//!
+//! News is separate from the regular updates: there is none unless an engine has crashed, and
+//! processes of an earlier build ignore it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Timer;
+use base::Span;
+use fleet::mesh::MeshRequest;
+use futures_lite::FutureExt as _;
+use routing::crash_suspects::CrashNews;
+
+use crate::mesh::reachable_peers;
+use crate::mesh::request_peer;
+use crate::state::ProcessContext;
+
+/// Time between two messages to a peer while there is news. It bounds how long a process
+/// that has restarted, or was partitioned, doesn't know blocked segments.
+const NEWS_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Minimum time between two messages.
+const MIN_NEWS_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Maximum wait for a peer's response.
+const NEWS_TIMEOUT: Span = Span::millis(400);
+
+/// Tells all peers of crashes until the process ends.
+pub async fn share_crash_news(shared: Arc<ProcessContext>) {
+    loop {
+        let listener = shared.crash_news.listen();
+        let news = shared.state().crash_suspects.news(shared.now());
+        if !news.is_empty() {
+            let leader = shared.state().leader;
+            let leader = leader.filter(|&address| address != shared.own_member.address);
+            for address in reachable_peers(&shared).into_iter().chain(leader) {
+                let request = MeshRequest::CrashNews(Box::new(news.clone()));
+                let shared = Arc::clone(&shared);
+                let pool = shared.pool.clone();
+                // News is repeated, so a lost message does no harm.
+                pool.spawn(async move {
+                    let _ = request_peer(&shared, address, request, NEWS_TIMEOUT).await;
+                });
+            }
+        }
+        Timer::after(MIN_NEWS_INTERVAL).await;
+        let tick = async {
+            Timer::after(NEWS_INTERVAL).await;
+        };
+        listener.or(tick).await;
+    }
+}
+
+/// Applies a peer's news.
+pub fn apply_crash_news(shared: &ProcessContext, news: &CrashNews) {
+    let now = shared.now();
+    let blocked = shared.state().crash_suspects.apply_news(news, now);
+    log_blocked(&blocked);
+}
+
+/// Logs segments that are blocked from now on.
+pub fn log_blocked(segments: &[u64]) {
+    for segment in segments {
+        log::warn!("engine: event=segment_blocked segment={segment:x}");
+    }
+}
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -43,6 +43,7 @@
 use self::rejection::RejectionCause;
 use crate::conn::Conn;
 use crate::connection_pool;
+use crate::crash_news;
 use crate::state::ProcessContext;
 
 /// Timeout of a request that states none.
@@ -139,6 +140,8 @@
     last_event: Option<String>,
     event_count: u64,
     tried_engines: Vec<u64>,
+    /// Whether the last engine closed its connection before it had answered.
+    engine_closed: bool,
     /// The number of attempts that engines may have executed.
     execution_count: u32,
     /// When the first event arrived.
@@ -275,12 +278,21 @@
         last_event: request.metadata.last_event.clone(),
         event_count: 0,
         tried_engines: Vec::new(),
+        engine_closed: false,
         execution_count: 0,
         first_event: None,
         charge: None,
         abandoned: AbandonedConn::default(),
         reuse: ConnectionReuse::Close,
     };
+    let segments = &request.metadata.segments;
+    let blocked = shared
+        .state()
+        .crash_suspects
+        .blocked_segment(segments, request.arrived_at);
+    if let Some(segment) = blocked {
+        return Err(RejectionCause::BlockedSegment(segment));
+    }
     let prepaid_team =
         team.filter(|team| team.budget.is_some() && request.metadata.max_tokens() > 0);
     if let Some(team) = prepaid_team {
@@ -374,6 +386,7 @@
             match outcome {
                 AttemptOutcome::Complete => {
                     self.set_charge(true, 0);
+                    self.record_answer();
                     self.log_completed(&engine);
                     return Ok(RequestOutcome::Complete);
                 }
@@ -395,12 +408,17 @@
                 }
                 AttemptOutcome::Failed | AttemptOutcome::TimedOut => {
                     log::info!(
-                        "request: id={id} event=try outcome=failed engine={} events={} left_ms={}",
+                        "request: id={id} event=try outcome=failed engine={} events={} closed={} left_ms={}",
                         engine.id,
                         self.event_count,
+                        self.engine_closed,
                         self.remaining().as_millis()
                     );
-                    if !self.may_execute_again() {
+                    let is_suspect = self.engine_closed && self.event_count == 0;
+                    if is_suspect {
+                        self.record_crash(choice.engine);
+                    }
+                    if !self.may_execute_again() || (is_suspect && !self.is_proven()) {
                         return self.finish_unanswered(error_response, caller).await;
                     }
                 }
@@ -479,6 +497,36 @@
             .record_request(self.service, now);
     }
 
+    /// Records that the engine's run `engine` may have crashed on the request.
+    fn record_crash(&self, engine: u64) {
+        let now = self.shared.now();
+        let segments = &self.request.metadata.segments;
+        let blocked = self
+            .shared
+            .state()
+            .crash_suspects
+            .record_crash(engine, segments, now);
+        crash_news::log_blocked(&blocked);
+        self.shared.crash_news.notify(usize::MAX);
+    }
+
+    /// Records that an engine has answered the request.
+    fn record_answer(&self) {
+        let now = self.shared.now();
+        let segments = &self.request.metadata.segments;
+        self.shared
+            .state()
+            .crash_suspects
+            .record_answer(segments, now);
+    }
+
+    /// Returns whether engines have answered prompts with the request's segments. If not,
+    /// the request may crash the next engine, too.
+    fn is_proven(&self) -> bool {
+        let segments = &self.request.metadata.segments;
+        self.shared.state().crash_suspects.is_proven(segments)
+    }
+
     /// Returns whether another engine may execute the request.
     fn may_execute_again(&self) -> bool {
         self.execution_count < self.route.max_attempts
@@ -608,6 +656,7 @@
         let sent_at = self.shared.now();
         self.update_charge(true);
         self.reuse = ConnectionReuse::Close;
+        self.engine_closed = false;
         let mut fully_sent = false;
         let writing = async {
             let result = conn.write_all(&out).await;
--- a/crates/gateway/src/forwarding/cancellation.rs
+++ b/crates/gateway/src/forwarding/cancellation.rs
@@ -28,10 +28,7 @@
 impl AbandonedConn {
     /// Takes the connection, if a request was dropped on one.
     pub fn take(&self) -> Option<Conn> {
-        self.0
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .take()
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).take()
     }
 }
 
--- a/crates/gateway/src/forwarding/rejection.rs
+++ b/crates/gateway/src/forwarding/rejection.rs
@@ -21,6 +21,8 @@
     /// No engine can start the request in time; the expected wait for capacity is in
     /// milliseconds.
     Overloaded(f64),
+    /// Engines crash on this segment of the prompt.
+    BlockedSegment(u64),
     /// No engine is available.
     NoEngine,
     /// No engine executed the request.
@@ -46,6 +48,7 @@
             Self::Unconfigured
             | Self::GrantUnavailable(_)
             | Self::NoWitness
+            | Self::BlockedSegment(_)
             | Self::Overloaded(_)
             | Self::NoEngine
             | Self::NotRun
@@ -69,6 +72,9 @@
                 "the team's budget can't be reached; the request did not run\n"
             }
             Self::Overloaded(_) => "all endpoints are busy; the request did not run\n",
+            Self::BlockedSegment(_) => {
+                "endpoints crash on a part of this prompt; the request did not run\n"
+            }
             Self::NoEngine => "no endpoint is available; the request did not run\n",
             Self::NotRun => "the endpoints had no room; the request did not run\n",
             Self::Stopping => "this process stops; the request did not run\n",
--- a/crates/gateway/src/forwarding/response.rs
+++ b/crates/gateway/src/forwarding/response.rs
@@ -56,7 +56,10 @@
                 Err(_) => return AttemptOutcome::Failed,
             }
             match conn.fill().await {
-                Ok(0) | Err(_) => return AttemptOutcome::Failed,
+                Ok(0) | Err(_) => {
+                    self.engine_closed = true;
+                    return AttemptOutcome::Failed;
+                }
                 Ok(_) => {}
             }
         };
@@ -185,7 +188,10 @@
                 Ok(0) if decoder.is_complete_at_eof() => {
                     decoder = BodyDecoder::new(http::Framing::None);
                 }
-                Ok(0) | Err(_) => return self.stream_failure(),
+                Ok(0) | Err(_) => {
+                    self.engine_closed = true;
+                    return self.stream_failure();
+                }
                 Ok(_) => {}
             }
         }
--- a/crates/gateway/src/leader_requests.rs
+++ b/crates/gateway/src/leader_requests.rs
@@ -64,6 +64,7 @@
         | MeshRequest::Mark(_)
         | MeshRequest::MarkVia(..)
         | MeshRequest::Fence(_)
+        | MeshRequest::CrashNews(_)
         | MeshRequest::Forward(_) => return MeshResponse::Unavailable,
     };
     group.send(input);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`conn`]: a TCP connection with its receive buffer.
 //! - [`connection_pool`]: idle connections to engines.
 //! - [`control`]: the control interface for engines, operators and the load balancer.
+//! - [`crash_news`]: exchanges with peers which prompt segments crash engines.
 //! - [`forwarding`]: forwards one request to engines.
 //! - [`frontend`]: the HTTP server for callers.
 //! - [`group`]: the consensus driver, a thread that owns a replica and its disk.
@@ -23,6 +24,7 @@
 pub mod conn;
 pub mod connection_pool;
 pub mod control;
+pub mod crash_news;
 pub mod forwarding;
 pub mod frontend;
 pub mod group;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -22,6 +22,7 @@
 use routing::placement::EnginePool;
 
 use crate::budget;
+use crate::crash_news;
 use crate::group::Input;
 use crate::leader_requests::request_leader_directly;
 use crate::leader_requests::request_local_leader;
@@ -105,6 +106,10 @@
                 .map_or(0, |index| index.site().version);
             MeshResponse::Config(version, state.config_body.to_vec())
         }
+        MeshRequest::CrashNews(news) => {
+            crash_news::apply_crash_news(&shared, &news);
+            MeshResponse::Done
+        }
         MeshRequest::Lend(requests) => budget::lend_tokens(&shared, requests).await,
         MeshRequest::Mark(mark) => witness::record_mark(&shared, mark).await,
         MeshRequest::MarkVia(replicas, mark) => {
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -23,6 +23,7 @@
 
 use crate::budget;
 use crate::control;
+use crate::crash_news;
 use crate::frontend;
 use crate::group::Group;
 use crate::group::GroupError;
@@ -182,6 +183,7 @@
         pool.spawn(witness::record_marks(Arc::clone(&self.shared)));
         pool.spawn(witness::record_own_marks(Arc::clone(&self.shared)));
         pool.spawn(witness::record_reserves(Arc::clone(&self.shared)));
+        pool.spawn(crash_news::share_crash_news(Arc::clone(&self.shared)));
         pool.spawn(mesh::report_memory());
         pool.spawn(settlement::settle_leases(Arc::clone(&self.shared)));
         pool.spawn(watch_settings(Arc::clone(&self.shared)));
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -28,6 +28,7 @@
 use host::metrics::Metrics;
 use ledger::Grants;
 use platform::settings::NodeSettings;
+use routing::CrashSuspects;
 use routing::Directory;
 use routing::directory::DirectoryEntry;
 use routing::directory::EngineAnnouncement;
@@ -105,6 +106,8 @@
     pub ledger_reachable: bool,
     /// The shared budget for retries.
     pub retry_budget: SharedRetryBudget,
+    /// Prompt segments that may crash engines.
+    pub crash_suspects: CrashSuspects,
     /// The other processes.
     pub peers: Map<SocketAddr, Peer>,
     /// Prompts sent since the last update.
@@ -146,6 +149,8 @@
     pub grants_changed: Event,
     /// Notified when an update should be sent immediately.
     pub update_needed: Event,
+    /// Notified when peers should be told of a crashed engine.
+    pub crash_news: Event,
     /// Notified when grants or marks are needed.
     pub grants_needed: Event,
     /// Number of requests in progress.
@@ -214,6 +219,7 @@
                 base_retries: bounds.retry_slack,
                 window,
             }),
+            crash_suspects: CrashSuspects::default(),
             peers: Map::default(),
             sent_prompts: Vec::new(),
             leader: None,
@@ -317,6 +323,7 @@
             health: Health::default(),
             grants_changed: Event::new(),
             update_needed: Event::new(),
+            crash_news: Event::new(),
             grants_needed: Event::new(),
             active_requests: AtomicUsize::new(0),
             close_event: Event::new(),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`admission`]: whether a request is accepted, and the retry delay of a rejected one.
 //! - [`concurrency`]: the adaptive concurrency limit of an endpoint.
+//! - [`crash_suspects`]: prompt segments that crash engines.
 //! - [`directory`]: the announced engines, by identifier and run.
 //! - [`endpoint_table`]: the known endpoints and the selection among them.
 //! - [`membership`]: the endpoints that announce themselves to a keeper.
@@ -14,6 +15,7 @@
 
 pub mod admission;
 pub mod concurrency;
+pub mod crash_suspects;
 pub mod directory;
 pub mod endpoint_table;
 pub mod membership;
@@ -25,6 +27,7 @@
 pub mod shared_retry;
 
 pub use crate::concurrency::ConcurrencyLimit;
+pub use crate::crash_suspects::CrashSuspects;
 pub use crate::directory::Directory;
 pub use crate::endpoint_table::EndpointChoice;
 pub use crate::endpoint_table::EndpointInfo;
