Treat a stream that ends inside an event as broken off

What callers would see: an answer without a length that its engine breaks off inside an event arrives as a complete stream, with a torn last event.

Cause: at the end of the connection, or of the last chunk, all remaining bytes were passed on as complete events. An unframed stream without any event counted as complete, too.

Change: bytes of an unfinished event at the end of a stream, and an unframed end before the first event, make the attempt fail. Streams that may be resumed go on at another engine.

--- a/crates/gateway/src/forwarding/response.rs
+++ b/crates/gateway/src/forwarding/response.rs
@@ -141,7 +141,10 @@
                 Ok(consumed) => conn.consume(consumed),
                 Err(_) => return self.stream_failure(),
             }
-            let complete_len = if decoder.is_complete() {
+            // A stream that ends inside an event has been broken off, whatever its framing.
+            let is_cut = decoder.is_complete() && event_stream::ends_inside_event(&events);
+            let is_complete = decoder.is_complete() && !is_cut;
+            let complete_len = if is_complete {
                 events.len()
             } else {
                 event_stream::complete_len(&events)
@@ -166,7 +169,13 @@
                 write_chunk(&mut out, &events[..complete_len]);
                 events.drain(..complete_len);
             }
-            if decoder.is_complete() {
+            if is_cut {
+                if !out.is_empty() && caller.write_all(&out).await.is_err() {
+                    return AttemptOutcome::Aborted;
+                }
+                return self.stream_failure();
+            }
+            if is_complete {
                 self.write_head_once(head, &mut out);
                 write_last_chunk(&mut out);
                 self.update_reuse(conn, head);
@@ -185,7 +194,8 @@
                 out.clear();
             }
             match conn.fill().await {
-                Ok(0) if decoder.is_complete_at_eof() => {
+                // Without a length, an end before the first event shows nothing.
+                Ok(0) if decoder.is_complete_at_eof() && self.event_count > 0 => {
                     decoder = BodyDecoder::new(http::Framing::None);
                 }
                 Ok(0) | Err(_) => {
--- a/crates/http/src/event_stream.rs
+++ b/crates/http/src/event_stream.rs
@@ -13,6 +13,14 @@
     0
 }
 
+/// Returns whether the bytes after the last complete event begin another one.
+#[must_use]
+pub fn ends_inside_event(bytes: &[u8]) -> bool {
+    let rest = &bytes[complete_len(bytes)..];
+    let mut lines = rest.split(|&b| b == b'\n');
+    lines.any(|line| !matches!(line, [] | [b'\r'] | [b':', ..]))
+}
+
 /// Returns the number of complete events in `bytes` and the identifier of the last
 /// event that has one.
 #[must_use]
--- a/crates/http/tests/messages.rs
+++ b/crates/http/tests/messages.rs
@@ -138,6 +138,15 @@
         18
     );
     assert_eq!(event_stream::complete_len(b"id: 1\ndata: a\n"), 0);
+    assert!(event_stream::ends_inside_event(b"id: 1\ndata: a\n"));
+    for whole in [
+        &b"id: 1\ndata: a\n\n"[..],
+        b"data: a\n\n: ping\n",
+        b"\r\n",
+        b"",
+    ] {
+        assert!(!event_stream::ends_inside_event(whole));
+    }
     let (count, id) = event_stream::count_and_last_id(b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
     assert_eq!((count, id), (2, Some("2")));
 }
