Change members only once the leader's term has a committed entry

What callers could see: an acknowledged configuration comes back older (CONFIG).

Cause: a new leader changed the members before it knew all committed entries. With an even number of voters, as between the removal of a lost disk's replica and the promotion of its successor, a change that an earlier leader left uncommitted and one of the new leader can leave two quorums without a common replica; the second leader then replaces entries that are committed.

Change: change_members fails until an entry of the leader's own term is committed.

Evidence: members_change_only_once_an_entry_of_the_current_term_is_committed failed before.

--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -104,8 +104,8 @@
     /// This replica isn't the leader; holds the leader, where one is known.
     #[error("this keeper does not lead")]
     NotLeader(Option<KeeperId>),
-    /// Another membership change isn't committed yet.
-    #[error("another change of members is under way")]
+    /// Another membership change isn't committed yet, or no entry of this term is.
+    #[error("another change of members is under way, or the term has no committed entry yet")]
     ChangePending,
     /// The change isn't valid for the current members.
     #[error(transparent)]
@@ -309,7 +309,7 @@
         if self.role != Role::Leader {
             return Err(ProposeError::NotLeader(self.leader));
         }
-        if self.change_pending() {
+        if self.change_pending() || !self.has_committed() {
             return Err(ProposeError::ChangePending);
         }
         if let MembershipChange::Promote(id) = change {
@@ -332,8 +332,7 @@
     /// or a later one.
     pub fn read_index(&mut self, read_id: u64) -> Effects {
         let mut effects = Effects::default();
-        let committed_in_term = self.log.term_at(self.commit_index) == Some(self.hard_state.term);
-        if self.role != Role::Leader || !committed_in_term {
+        if self.role != Role::Leader || !self.has_committed() {
             effects.failed_reads.push(read_id);
             return effects;
         }
@@ -695,6 +694,14 @@
         }
     }
 
+    /// Returns whether an entry of the current term is committed. Until then a leader may not
+    /// know all committed entries. A change of members before it could leave two leaders with
+    /// quorums that share no replica: one in the members before a change that an earlier
+    /// leader left uncommitted, one in those after it.
+    fn has_committed(&self) -> bool {
+        self.log.term_at(self.commit_index) == Some(self.hard_state.term)
+    }
+
     fn change_pending(&self) -> bool {
         let uncommitted = self.log.entries_from(self.commit_index + 1);
         uncommitted
--- a/crates/consensus/tests/rules.rs
+++ b/crates/consensus/tests/rules.rs
@@ -6,6 +6,7 @@
 use consensus::HardState;
 use consensus::LogWrite;
 use consensus::Members;
+use consensus::MembershipChange;
 use consensus::Message;
 use consensus::Payload;
 use consensus::Position;
@@ -86,8 +87,18 @@
     );
 }
 
-#[test]
-fn an_entry_of_an_earlier_term_commits_only_with_one_of_the_current_term() {
+fn append_response(match_index: u64) -> Envelope {
+    let message = Message::AppendResponse {
+        match_index: Some(match_index),
+        next_hint: 0,
+        round: 0,
+    };
+    envelope(1, 4, message)
+}
+
+/// Returns a replica that was elected in term 4, with two entries of earlier terms and one
+/// of its own.
+fn elected_leader() -> Replica {
     let hard_state = HardState {
         term: 3,
         vote: None,
@@ -103,17 +114,30 @@
     replica.receive(envelope(1, 4, vote(true)));
     replica.receive(envelope(1, 4, vote(false)));
     assert_eq!(replica.leader(), Some(KeeperId(0)));
-    let append_response = |index| Message::AppendResponse {
-        match_index: Some(index),
-        next_hint: 0,
-        round: 0,
-    };
-    replica.receive(envelope(1, 4, append_response(2)));
+    replica
+}
+
+#[test]
+fn an_entry_of_an_earlier_term_commits_only_with_one_of_the_current_term() {
+    let mut replica = elected_leader();
+    replica.receive(append_response(2));
     assert_eq!(replica.commit_index(), 0, "entry 2 is of term 2");
-    replica.receive(envelope(1, 4, append_response(3)));
+    replica.receive(append_response(3));
     assert_eq!(replica.commit_index(), 3);
 }
 
+/// An acknowledged entry could be lost: an earlier leader may have changed the members, too.
+#[test]
+fn members_change_only_once_an_entry_of_the_current_term_is_committed() {
+    let mut replica = elected_leader();
+    let change = MembershipChange::Remove(KeeperId(2));
+    assert!(replica.change_members(change).is_err());
+    replica.receive(append_response(2));
+    assert!(replica.change_members(change).is_err());
+    replica.receive(append_response(3));
+    assert!(replica.change_members(change).is_ok());
+}
+
 /// A member that is lost permanently counts towards the quorum size until it is removed,
 /// also after another member has joined.
 #[test]
