--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -332,6 +332,7 @@
                             team: team.to_owned(),
                             charged: max_tokens,
                             used: 0,
+                            events: 0,
                         },
                         started: false,
                         abandoned: self.abandoned.clone(),
@@ -481,6 +482,7 @@
             let metadata = &self.request.metadata;
             let output = (event_count * self.event_tokens).min(metadata.max_output);
             guard.started |= self.execution_count > 0;
+            guard.charge.events = self.event_count;
             guard.charge.used = if executed {
                 metadata.prompt_tokens + output
             } else {
--- a/crates/gateway/src/forwarding/guards.rs
+++ b/crates/gateway/src/forwarding/guards.rs
@@ -37,6 +37,8 @@
     pub charged: u64,
     /// The number of tokens used so far.
     pub used: u64,
+    /// The number of events received so far.
+    pub events: u64,
 }
 
 impl Charge {
@@ -47,10 +49,11 @@
         state.grants.settle(self.lease, &self.team, charged, used);
         drop(state);
         log::info!(
-            "request: id={} event=settled lease={:x} team={} charged={charged} used={used}",
+            "request: id={} event=settled lease={:x} team={} charged={charged} used={used} events={}",
             self.request_id.as_deref().unwrap_or("-"),
             self.lease,
-            self.team
+            self.team,
+            self.events
         );
     }
 }
