--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -4,11 +4,15 @@
 //! Its inputs are a request and its caller's connection.
 //!
 //! - [`cancellation`]: cancels a request at its engine.
+//! - [`charging`]: charges a request to its team's budget.
+//! - [`crashes`]: requests whose engine crashed.
 //! - [`guards`]: guards that release a charge and an engine's load when dropped.
 //! - [`rejection`]: the causes for which the gateway rejects a request.
 //! - [`response`]: an engine's response, buffered or streamed to the caller.
 
 mod cancellation;
+mod charging;
+mod crashes;
 mod guards;
 mod rejection;
 mod response;
@@ -25,7 +29,6 @@
 use futures_lite::FutureExt as _;
 use http::RequestHead;
 use http::ResponseHead;
-use ledger::grants::ChargeError;
 use platform::headers;
 use platform::headers::UpstreamRequest;
 use routing::RequestMetadata;
@@ -37,34 +40,20 @@
 
 use self::cancellation::AbandonedConn;
 use self::cancellation::EngineConn;
-use self::guards::Charge;
 use self::guards::ChargeGuard;
 use self::guards::DispatchGuard;
 use self::rejection::RejectionCause;
 use crate::conn::Conn;
 use crate::connection_pool;
-use crate::crash_news;
 use crate::state::ProcessContext;
 
 /// Timeout of a request that states none.
 const DEFAULT_TIMEOUT: Span = Span::millis(30_000);
 
-/// Maximum wait for a grant: a commit takes tens of milliseconds, an election about one
-/// second.
-const GRANT_TIMEOUT: Span = Span::millis(350);
-
-/// Maximum wait for a loan, if the ledger doesn't answer or other entries hold all
-/// remaining tokens: several peers are asked in turn, and then once more.
-const BORROW_TIMEOUT: Span = Span::millis(120);
-
 /// Maximum number of engines that are tried for one request; it's rejected if none of
 /// them executed it.
 const MAX_TRIED_ENGINES: usize = 3;
 
-/// Maximum number of events that may be in flight when a stream is aborted; they are
-/// charged as delivered.
-const MAX_IN_FLIGHT_EVENTS: u64 = 2;
-
 /// Fraction of the remaining time after which a request without a response is sent to
 /// another endpoint, if it may be retried.
 const ATTEMPT_TIMEOUT_FRACTION: f64 = 0.45;
@@ -301,64 +290,11 @@
     forwarder.forward(caller).await
 }
 
-impl<'a> RequestForwarder<'a> {
+impl RequestForwarder<'_> {
     fn remaining(&self) -> Span {
         self.shared.now().until(self.deadline)
     }
 
-    /// Charges the maximum number of tokens that the request may use; waits for a grant
-    /// if the held grants don't cover them.
-    async fn charge_budget(&self, team: &str) -> Result<ChargeGuard<'a>, RejectionCause> {
-        let max_tokens = self.request.metadata.max_tokens();
-        let started_at = self.shared.now();
-        let mut give_up_at = started_at + GRANT_TIMEOUT;
-        loop {
-            let listener = self.shared.grants_changed.listen();
-            let now = self.shared.now();
-            let ledger_unreachable;
-            let result = {
-                let mut state = self.shared.state();
-                let result = state.grants.charge(team, max_tokens, now);
-                ledger_unreachable = !state.ledger_reachable;
-                result.map(|()| state.grants.lease_id())
-            };
-            match result {
-                Ok(lease) => {
-                    return Ok(ChargeGuard {
-                        shared: self.shared,
-                        charge: Charge {
-                            request_id: self.request.metadata.id.clone(),
-                            lease,
-                            team: team.to_owned(),
-                            charged: max_tokens,
-                            used: 0,
-                            events: 0,
-                        },
-                        started: false,
-                        abandoned: self.abandoned.clone(),
-                    });
-                }
-                Err(ChargeError::Exhausted) => return Err(RejectionCause::BudgetExhausted),
-                Err(ChargeError::NoWitness) => return Err(RejectionCause::NoWitness),
-                Err(error) => {
-                    let must_borrow = error == ChargeError::HeldByOthers
-                        || (error == ChargeError::AwaitingGrant && ledger_unreachable);
-                    if must_borrow {
-                        give_up_at = give_up_at.min(started_at + BORROW_TIMEOUT);
-                    }
-                    if now >= give_up_at || now >= self.deadline {
-                        return Err(RejectionCause::GrantUnavailable(error));
-                    }
-                }
-            }
-            self.shared.grants_needed.notify(usize::MAX);
-            let timed_out = async {
-                Timer::after(now.until(give_up_at).into()).await;
-            };
-            listener.or(timed_out).await;
-        }
-    }
-
     /// Sends the request to engines until one responds or it must be rejected.
     async fn forward(&mut self, caller: &Conn) -> Result<RequestOutcome, RejectionCause> {
         let mut error_response = None;
@@ -466,31 +402,6 @@
         );
     }
 
-    /// Updates the charge to the tokens that the request has used so far.
-    ///
-    /// It's updated while the request runs, because the request is dropped immediately
-    /// when its caller disconnects.
-    fn update_charge(&mut self, running: bool) {
-        self.set_charge(self.execution_count > 0 || running, MAX_IN_FLIGHT_EVENTS);
-    }
-
-    /// Sets the charge to the tokens used if the request was `executed`, where up to
-    /// `in_flight_events` may have arrived in addition to those counted.
-    fn set_charge(&mut self, executed: bool, in_flight_events: u64) {
-        let event_count = self.event_count + in_flight_events;
-        if let Some(guard) = &mut self.charge {
-            let metadata = &self.request.metadata;
-            let output = (event_count * self.event_tokens).min(metadata.max_output);
-            guard.started |= self.execution_count > 0;
-            guard.charge.events = self.event_count;
-            guard.charge.used = if executed {
-                metadata.prompt_tokens + output
-            } else {
-                0
-            };
-        }
-    }
-
     fn record_request(&self) {
         let now = self.shared.now();
         self.shared
@@ -499,36 +410,6 @@
             .record_request(self.service, now);
     }
 
-    /// Records that the engine's run `engine` may have crashed on the request.
-    fn record_crash(&self, engine: u64) {
-        let now = self.shared.now();
-        let segments = &self.request.metadata.segments;
-        let blocked = self
-            .shared
-            .state()
-            .crash_suspects
-            .record_crash(engine, segments, now);
-        crash_news::log_blocked(&blocked);
-        self.shared.crash_news.notify(usize::MAX);
-    }
-
-    /// Records that an engine has answered the request.
-    fn record_answer(&self) {
-        let now = self.shared.now();
-        let segments = &self.request.metadata.segments;
-        self.shared
-            .state()
-            .crash_suspects
-            .record_answer(segments, now);
-    }
-
-    /// Returns whether engines have answered prompts with the request's segments. If not,
-    /// the request may crash the next engine, too.
-    fn is_proven(&self) -> bool {
-        let segments = &self.request.metadata.segments;
-        self.shared.state().crash_suspects.is_proven(segments)
-    }
-
     /// Returns whether another engine may execute the request.
     fn may_execute_again(&self) -> bool {
         self.execution_count < self.route.max_attempts
--- a/crates/gateway/src/forwarding/cancellation.rs
+++ b/crates/gateway/src/forwarding/cancellation.rs
@@ -54,7 +54,7 @@
     ///
     /// # Panics
     ///
-    /// Never panics: nothing else takes the connection.
+    /// Panics if it was taken before, which its owner can't do.
     pub fn into_inner(mut self) -> Conn {
         self.conn.take().expect("the connection is taken once")
     }
--- a/crates/gateway/src/forwarding/response.rs
+++ b/crates/gateway/src/forwarding/response.rs
@@ -92,13 +92,6 @@
         }
     }
 
-    /// Records that an engine has begun to answer.
-    fn mark_started(&mut self) {
-        if let Some(charge) = &mut self.charge {
-            charge.started = true;
-        }
-    }
-
     /// Marks the connection as reusable if the engine keeps it open and no bytes are unread.
     fn update_reuse(&mut self, conn: &Conn, head: &ResponseHead) {
         if !head.connection_close && conn.buf.is_empty() {
