--- a/crates/gateway/src/forwarding/cancellation.rs
+++ b/crates/gateway/src/forwarding/cancellation.rs
@@ -83,10 +83,10 @@
     }
 }
 
-/// Cancels the request `id` on its connection. Returns whether the engine has proved that
-/// it never began to answer: it says so, or it closes the connection in order and without
-/// a byte of an answer. What it sent before it saw the end of the connection would arrive
-/// before its own end.
+/// Cancels the request `id` on its connection, on which no byte of an answer was read yet.
+///
+/// Returns whether the engine never began to answer: it says so, or it closes the connection
+/// in order and without a byte. What it had sent before would arrive before its own close.
 pub async fn cancel_unstarted(mut conn: Conn, id: Option<&str>) -> bool {
     conn.shutdown(Shutdown::Write);
     let ended = async {
--- a/crates/routing/src/crash_suspects.rs
+++ b/crates/routing/src/crash_suspects.rs
@@ -35,7 +35,7 @@
 /// Crashes closer together count as one: engines of a failure domain end at once.
 const CRASH_SPACING: Span = Span::millis(250);
 
-/// Time for which a crash counts, and for which it is told to peers.
+/// Time for which a crash counts.
 const CRASH_TTL: Span = Span::secs(60);
 
 /// Age up to which crashes and answers are told to peers: longer than the partition of a
