--- a/review/standins/src/engine.rs
+++ b/review/standins/src/engine.rs
@@ -167,7 +167,13 @@
 }
 
 /// Writes a whole stream of `events` events, one each `gap`.
-pub fn write_stream(stream: &mut TcpStream, id: &str, first: u64, events: u64, gap: Duration) -> io::Result<()> {
+pub fn write_stream(
+    stream: &mut TcpStream,
+    id: &str,
+    first: u64,
+    events: u64,
+    gap: Duration,
+) -> io::Result<()> {
     let head = format!(
         "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s.{id}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
     );
--- a/review/standins/src/extra.rs
+++ b/review/standins/src/extra.rs
@@ -76,19 +76,35 @@
                 engine::write_not_run(&mut conn.stream, 503, &earlier)?;
             }
             record.line(&format!("engine {} runs {}", engine.id, request.id));
-            runs.lock().unwrap().entry(request.id.clone()).or_default().push(engine.id.clone());
+            runs.lock()
+                .unwrap()
+                .entry(request.id.clone())
+                .or_default()
+                .push(engine.id.clone());
             thread::sleep(Duration::from_millis(30));
             engine::write_answer(&mut conn.stream, &request.id, "held")?;
             let number = answers.fetch_add(1, Ordering::Relaxed) + 1;
-            if index < FAULTY_ENGINES && faulty.load(Ordering::Relaxed) && number % ANSWERS_PER_EXTRA == 0 {
+            if index < FAULTY_ENGINES
+                && faulty.load(Ordering::Relaxed)
+                && number % ANSWERS_PER_EXTRA == 0
+            {
                 extras.lock().unwrap().insert(peer, request.id.clone());
             }
             Ok(Next::Keep)
         });
         let id = format!("i-000{index}");
-        engines.push(Engine::start(&id, "wuno96b", index, 6, fleet.controls(), serve)?);
+        engines.push(Engine::start(
+            &id,
+            "wuno96b",
+            index,
+            6,
+            fleet.controls(),
+            serve,
+        )?);
     }
-    if let Err(reason) = operator::submit(&fleet.controls(), &configuration(), Duration::from_secs(10)) {
+    if let Err(reason) =
+        operator::submit(&fleet.controls(), &configuration(), Duration::from_secs(10))
+    {
         record.say(&format!("the configuration was not acknowledged: {reason}"));
         return Ok(Verdict::CannotRun);
     }
@@ -102,7 +118,8 @@
     let answers: Arc<Mutex<HashMap<String, u16>>> = Arc::default();
     let clients: Vec<_> = (0..CLIENTS)
         .map(|client| {
-            let (fleet, record, answers) = (Arc::clone(&fleet), Arc::clone(record), Arc::clone(&answers));
+            let (fleet, record, answers) =
+                (Arc::clone(&fleet), Arc::clone(record), Arc::clone(&answers));
             thread::spawn(move || {
                 let mut number = 0;
                 while record.seconds() - start < TRAFFIC_S {
@@ -133,11 +150,17 @@
     for (id, engines) in runs.iter() {
         if engines.len() > 1 {
             twice += 1;
-            record.say(&format!("TWICE: {id} ran at {engines:?}, answered {:?}", answers.get(id)));
+            record.say(&format!(
+                "TWICE: {id} ran at {engines:?}, answered {:?}",
+                answers.get(id)
+            ));
         }
         if matches!(answers.get(id), Some(408 | 421 | 429 | 503)) {
             refused += 1;
-            record.say(&format!("REFUSED: {id} ran at {engines:?}, answered {:?}", answers.get(id)));
+            record.say(&format!(
+                "REFUSED: {id} ran at {engines:?}, answered {:?}",
+                answers.get(id)
+            ));
         }
     }
     let served = answers.values().filter(|&&status| status == 200).count();
@@ -152,8 +175,9 @@
 }
 
 fn hold(fleet: &Fleet, front: usize, id: &str) -> u16 {
-    let headers =
-        format!("Host: ficu95.example\r\nRequest-Id: {id}\r\nApi-Key: key-0\r\nDeadline-Ms: 1500\r\n");
+    let headers = format!(
+        "Host: ficu95.example\r\nRequest-Id: {id}\r\nApi-Key: key-0\r\nDeadline-Ms: 1500\r\n"
+    );
     let answer = http::call(
         fleet.front(front),
         "POST",
--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -33,7 +33,9 @@
 /// Kills all processes that this one has started, before it ends out of turn.
 pub fn kill_started() {
     for id in STARTED.lock().unwrap().iter() {
-        let _ = Command::new("kill").args(["-s", "KILL", &id.to_string()]).status();
+        let _ = Command::new("kill")
+            .args(["-s", "KILL", &id.to_string()])
+            .status();
     }
 }
 
@@ -72,7 +74,8 @@
             let seed = random();
             let net = [127, 64 + (seed % 128) as u8, (seed >> 8) as u8];
             let port = 21_000 + ((seed >> 16) % 9_000) as u16;
-            let ips = (0..disks + others).map(|i| Ipv4Addr::new(net[0], net[1], net[2], 11 + i as u8));
+            let ips =
+                (0..disks + others).map(|i| Ipv4Addr::new(net[0], net[1], net[2], 11 + i as u8));
             let ips: Vec<Ipv4Addr> = ips.collect();
             if ips.iter().all(|&ip| is_free(ip, port)) {
                 let gateway = |(index, &ip)| Gateway {
@@ -118,7 +121,10 @@
         let gateway = &self.gateways[index];
         let (ip, port) = (gateway.ip, self.port);
         let zone = ZONES[index % ZONES.len()];
-        let seeds = self.seeds.iter().map(|&seed| format!("\"{}\"", self.control(seed)));
+        let seeds = self
+            .seeds
+            .iter()
+            .map(|&seed| format!("\"{}\"", self.control(seed)));
         let seeds = seeds.collect::<Vec<_>>().join(",");
         let mut text = format!(
             "node_name = \"edge-{zone}-{index}\"\nrole = \"gateway\"\nmachine_class = \"edge\"\n\
@@ -142,7 +148,8 @@
             port + 2
         );
         let tolerance = self.tolerance;
-        text += &format!("[limits]\ncpu_quota = 0.45\ncpu_cores = 1\nmemory_mb = 260\nmax_fds = 4100\n\
+        text += &format!(
+            "[limits]\ncpu_quota = 0.45\ncpu_cores = 1\nmemory_mb = 260\nmax_fds = 4100\n\
                  link_mbps = 1000.0\ndisk_mb = 64\n\
                  [fault_tolerance]\nnodes = {tolerance}\nzones = 0\nregions = 0\n\
                  [bounds]\nseed_lag_s = 3\nreuse_after_s = 2\nstable_window_ms = 3000\nack_ms = 4000\n\
@@ -150,7 +157,8 @@
                  config_apply_ms = 2000\ndowngrade_slack_ms = 250\npartition_max_ms = 5000\n\
                  revoke_strict = false\nrevoke_ms = 5000\nretry_budget_ratio = 0.2\n\
                  retry_window_s = 10\nbudget_slack = 58\nrecovery_s = 12\ndelivery_deadline_ms = 120\n\
-                 reuse_window_s = 9.2\nsettle_ms = 1500\n");
+                 reuse_window_s = 9.2\nsettle_ms = 1500\n"
+        );
         text
     }
 
@@ -196,15 +204,6 @@
         Ok(())
     }
 
-    /// Sends a signal, named as for `kill`, to a process.
-    pub fn signal(&self, index: usize, name: &str) {
-        if let Some(child) = &self.gateways[index].child {
-            let id = child.id().to_string();
-            // The process may have ended.
-            let _ = Command::new("kill").args(["-s", name, &id]).status();
-        }
-    }
-
     /// Kills a process and waits for its end.
     pub fn kill(&mut self, index: usize) {
         if let Some(mut child) = self.gateways[index].child.take() {
@@ -214,12 +213,6 @@
         }
     }
 
-    /// Returns whether a process that was started has ended by itself.
-    pub fn has_ended(&mut self, index: usize) -> bool {
-        let child = self.gateways[index].child.as_mut();
-        child.is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
-    }
-
     /// Waits until all processes are ready.
     pub fn wait_ready(&self, timeout: Duration) -> bool {
         let all: Vec<usize> = (0..self.gateways.len()).collect();
@@ -230,7 +223,14 @@
     pub fn wait_ready_of(&self, list: &[usize], timeout: Duration) -> bool {
         let deadline = Instant::now() + timeout;
         let ready = |index| {
-            let answer = http::call(self.readiness(index), "GET", "/readyz", "Host: x\r\n", b"", Duration::from_secs(1));
+            let answer = http::call(
+                self.readiness(index),
+                "GET",
+                "/readyz",
+                "Host: x\r\n",
+                b"",
+                Duration::from_secs(1),
+            );
             answer.is_ok_and(|answer| answer.status == 200)
         };
         loop {
@@ -248,7 +248,9 @@
     pub fn log_lines(&self, index: usize, words: &[&str], most: usize) -> Vec<String> {
         let text = fs::read(self.folder.join(format!("log-{index}"))).unwrap_or_default();
         let text = String::from_utf8_lossy(&text);
-        let found = text.lines().filter(|line| words.iter().any(|word| line.contains(word)));
+        let found = text
+            .lines()
+            .filter(|line| words.iter().any(|word| line.contains(word)));
         let found: Vec<String> = found.map(str::to_owned).collect();
         found[found.len().saturating_sub(most)..].to_vec()
     }
@@ -269,6 +271,8 @@
 
 fn is_free(ip: Ipv4Addr, port: u16) -> bool {
     let tcp = [port, port + 1, port + 2, METRICS_PORT];
-    let tcp = tcp.iter().all(|&port| TcpListener::bind((ip, port)).is_ok());
+    let tcp = tcp
+        .iter()
+        .all(|&port| TcpListener::bind((ip, port)).is_ok());
     tcp && (port + 3..=port + 18).all(|port| UdpSocket::bind((ip, port)).is_ok())
 }
--- a/review/standins/src/growth.rs
+++ b/review/standins/src/growth.rs
@@ -47,7 +47,12 @@
 fn route(index: usize, version: u64) -> String {
     let (name, host) = (format!("r-{index:07}"), "ficu95.example");
     // Each version shifts the weights of one route, so that each is a real change.
-    let weight = 50 + if index as u64 == version % 13 { version % 40 } else { 0 };
+    let weight = 50
+        + if index as u64 == version % 13 {
+            version % 40
+        } else {
+            0
+        };
     format!(
         "{{\"name\":\"{name}\",\"host\":\"{host}\",\"path_prefix\":\"/p{index:06}/\",\"route_type\":\"streaming\",\
          \"timeout_ms\":6000,\"target_latency_ms\":800,\"priority\":1,\"traffic_split\":[{{\"service\":\"huvo11a\",\
@@ -115,14 +120,22 @@
     let runs = Arc::clone(record);
     let serve: Serve = Arc::new(move |engine, request, conn| {
         runs.line(&format!("engine {} runs {}", engine.id, request.id));
-        engine::write_stream(&mut conn.stream, &request.id, 1, 10, Duration::from_millis(5))?;
+        engine::write_stream(
+            &mut conn.stream,
+            &request.id,
+            1,
+            10,
+            Duration::from_millis(5),
+        )?;
         Ok(Next::Keep)
     });
     let _engine = Engine::start("i-0001", "huvo11a", 0, 96, fleet.controls(), serve)?;
     let controls = fleet.controls();
     let first = operator::submit(&controls, &configuration(1, 0), Duration::from_secs(10));
     if let Err(reason) = first {
-        record.say(&format!("the first configuration was not acknowledged: {reason}"));
+        record.say(&format!(
+            "the first configuration was not acknowledged: {reason}"
+        ));
         return Ok(Verdict::CannotRun);
     }
     if !fleet.wait_ready(Duration::from_secs(10)) {
@@ -156,7 +169,11 @@
         let due = started + CHANGE_GAP * u32::try_from(number).unwrap_or(0);
         thread::sleep(due.saturating_duration_since(Instant::now()));
         let version = 2 + number;
-        let added = if trouble && number < GROWN_CHANGES { ADDED_ROUTES } else { 0 };
+        let added = if trouble && number < GROWN_CHANGES {
+            ADDED_ROUTES
+        } else {
+            0
+        };
         let body = configuration(version, added);
         if number == 0 || number == GROWN_CHANGES {
             record.say(&format!(
@@ -214,7 +231,9 @@
     while newest_read.is_none() && reading.elapsed() < READ_PERIOD {
         for (index, &control) in controls.iter().enumerate() {
             let (status, version) = operator::fetch(control);
-            record.line(&format!("Config.Fetch at gateway {index}: {status} {version:?}"));
+            record.line(&format!(
+                "Config.Fetch at gateway {index}: {status} {version:?}"
+            ));
             if status == 200 {
                 older |= version < Some(newest);
                 newest_read = newest_read.max(version);
@@ -226,7 +245,9 @@
     let _ = client.join();
     for front in 0..controls.len() {
         let status = ask(&fleet, front, &format!("{:016x}", 0xb000 + front), record);
-        record.say(&format!("a prepaid request at gateway {front} gets {status}"));
+        record.say(&format!(
+            "a prepaid request at gateway {front} gets {status}"
+        ));
     }
     for index in 0..controls.len() {
         for line in fleet.log_lines(index, &["disk_failed", "reopen"], 2) {
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -84,7 +84,8 @@
                 let mut lines = text.split("\r\n");
                 let line = lines.next().unwrap_or_default().to_owned();
                 let headers = lines.filter_map(|line| line.split_once(':'));
-                let headers = headers.map(|(name, value)| (name.to_owned(), value.trim().to_owned()));
+                let headers =
+                    headers.map(|(name, value)| (name.to_owned(), value.trim().to_owned()));
                 return Ok(Some(Head {
                     line,
                     headers: headers.collect(),
--- a/review/standins/src/replaced.rs
+++ b/review/standins/src/replaced.rs
@@ -51,7 +51,14 @@
         "Host: ficu95.example\r\nRequest-Id: {id}\r\nModel: m\r\nToken-Usage: 1460,30\r\nApi-Key: key-0\r\nDeadline-Ms: 6000\r\n"
     );
     let timeout = Duration::from_secs(7);
-    let answer = http::call(fleet.front(front), "POST", "/ask/x", &headers, b"{}", timeout);
+    let answer = http::call(
+        fleet.front(front),
+        "POST",
+        "/ask/x",
+        &headers,
+        b"{}",
+        timeout,
+    );
     let status = answer.map_or(0, |answer| answer.status);
     record.line(&format!("request {id} at gateway {front}: status {status}"));
     status
@@ -59,7 +66,13 @@
 
 /// Asks the gateways in turn until `seconds` have passed; returns how many requests were
 /// served, of how many.
-fn ask_for(fleet: &Fleet, fronts: &[usize], seconds: f64, next: &mut u64, record: &Record) -> (u64, u64) {
+fn ask_for(
+    fleet: &Fleet,
+    fronts: &[usize],
+    seconds: f64,
+    next: &mut u64,
+    record: &Record,
+) -> (u64, u64) {
     let until = record.seconds() + seconds;
     let (mut served, mut sent) = (0, 0);
     while record.seconds() < until {
@@ -80,24 +93,40 @@
         fleet.start(index, true)?;
     }
     let running = |removed: &[usize], added: &[usize]| -> Vec<usize> {
-        let core = (0..CORE).chain(others).filter(|index| !removed.contains(index));
+        let core = (0..CORE)
+            .chain(others)
+            .filter(|index| !removed.contains(index));
         core.chain(added.iter().copied()).collect()
     };
     let runs = Arc::clone(record);
     let serve: Serve = Arc::new(move |engine, request, conn| {
         runs.line(&format!("engine {} runs {}", engine.id, request.id));
-        engine::write_stream(&mut conn.stream, &request.id, 1, 10, Duration::from_millis(5))?;
+        engine::write_stream(
+            &mut conn.stream,
+            &request.id,
+            1,
+            10,
+            Duration::from_millis(5),
+        )?;
         Ok(Next::Keep)
     });
     let controls = |list: &[usize], fleet: &Fleet| {
-        list.iter().map(|&index| fleet.control(index)).collect::<Vec<_>>()
+        list.iter()
+            .map(|&index| fleet.control(index))
+            .collect::<Vec<_>>()
     };
     // The platform's list for engines holds all control addresses of the day; calls to
     // machines that are gone or not yet there move on to the next.
     let _engine = Engine::start("i-0001", "huvo11a", 0, 96, fleet.controls(), serve)?;
     let all = running(&[], &[]);
-    if let Err(reason) = operator::submit(&controls(&all, &fleet), &configuration(1), Duration::from_secs(10)) {
-        record.say(&format!("the first configuration was not acknowledged: {reason}"));
+    if let Err(reason) = operator::submit(
+        &controls(&all, &fleet),
+        &configuration(1),
+        Duration::from_secs(10),
+    ) {
+        record.say(&format!(
+            "the first configuration was not acknowledged: {reason}"
+        ));
         return Ok(Verdict::CannotRun);
     }
     if !fleet.wait_ready_of(&all, Duration::from_secs(15)) {
@@ -112,7 +141,11 @@
         return Ok(Verdict::CannotRun);
     }
     let mut version = 2;
-    let acknowledged = operator::submit(&controls(&all, &fleet), &configuration(version), Duration::from_secs(4));
+    let acknowledged = operator::submit(
+        &controls(&all, &fleet),
+        &configuration(version),
+        Duration::from_secs(4),
+    );
     record.say(&format!("version {version}: {acknowledged:?}"));
     if acknowledged.is_err() {
         return Ok(Verdict::CannotRun);
@@ -125,10 +158,20 @@
         fleet.start(CORE, false)?;
         record.say("its successor has started, with an empty disk, at another address");
         let list = running(&[0], &[CORE]);
-        let (served, sent) = ask_for(&fleet, &list, SECOND_DELAY.as_secs_f64() - 1.0, &mut next, record);
+        let (served, sent) = ask_for(
+            &fleet,
+            &list,
+            SECOND_DELAY.as_secs_f64() - 1.0,
+            &mut next,
+            record,
+        );
         record.say(&format!("meanwhile: {served} of {sent} requests served"));
         version += 1;
-        let acknowledged = operator::submit(&controls(&list, &fleet), &configuration(version), Duration::from_secs(4));
+        let acknowledged = operator::submit(
+            &controls(&list, &fleet),
+            &configuration(version),
+            Duration::from_secs(4),
+        );
         record.say(&format!("version {version}: {acknowledged:?}"));
         if acknowledged.is_err() {
             return Ok(Verdict::CannotRun);
@@ -148,14 +191,18 @@
     };
     // `recovery_s` after all are back.
     let (served, sent) = ask_for(&fleet, &list, 12.0, &mut next, record);
-    record.say(&format!("until recovery_s: {served} of {sent} requests served"));
+    record.say(&format!(
+        "until recovery_s: {served} of {sent} requests served"
+    ));
     let reading = Instant::now();
     let mut newest_read = None;
     let mut older = false;
     while newest_read.is_none() && reading.elapsed() < READ_PERIOD {
         for &index in &list {
             let (status, read) = operator::fetch(fleet.control(index));
-            record.line(&format!("Config.Fetch at gateway {index}: {status} {read:?}"));
+            record.line(&format!(
+                "Config.Fetch at gateway {index}: {status} {read:?}"
+            ));
             if status == 200 {
                 older |= read < Some(newest);
                 newest_read = newest_read.max(read);
@@ -164,7 +211,9 @@
         thread::sleep(Duration::from_millis(300));
     }
     let (served, sent) = ask_for(&fleet, &list, 5.0, &mut next, record);
-    record.say(&format!("after recovery_s: {served} of {sent} requests served"));
+    record.say(&format!(
+        "after recovery_s: {served} of {sent} requests served"
+    ));
     for &index in &list {
         for line in fleet.log_lines(index, &["event=members", "event=leader "], 2) {
             record.line(&format!("log of gateway {index}: {line}"));
--- a/review/standins/src/uncharged.rs
+++ b/review/standins/src/uncharged.rs
@@ -110,16 +110,34 @@
             if lost {
                 // The run goes on until the connection closes; then the engine drops it.
                 let ended = conn.stream.read(&mut [0; 16]);
-                record.line(&format!("engine {} drops {}: {ended:?}", engine.id, request.id));
+                record.line(&format!(
+                    "engine {} drops {}: {ended:?}",
+                    engine.id, request.id
+                ));
                 return Ok(Next::Close);
             }
-            engine::write_stream(&mut conn.stream, &request.id, 1, EVENTS, Duration::from_millis(15))?;
+            engine::write_stream(
+                &mut conn.stream,
+                &request.id,
+                1,
+                EVENTS,
+                Duration::from_millis(15),
+            )?;
             Ok(Next::Keep)
         });
         let id = format!("i-000{index}");
-        engines.push(Engine::start(&id, "huvo11a", index, 96, fleet.controls(), serve)?);
+        engines.push(Engine::start(
+            &id,
+            "huvo11a",
+            index,
+            96,
+            fleet.controls(),
+            serve,
+        )?);
     }
-    if let Err(reason) = operator::submit(&fleet.controls(), &configuration(), Duration::from_secs(10)) {
+    if let Err(reason) =
+        operator::submit(&fleet.controls(), &configuration(), Duration::from_secs(10))
+    {
         record.say(&format!("the configuration was not acknowledged: {reason}"));
         return Ok(Verdict::CannotRun);
     }
@@ -143,7 +161,9 @@
                     let id = format!("{:016x}", (client << 32) + number);
                     let front = usize::try_from((client + number) % 3).unwrap_or(0);
                     let (status, events) = ask(&fleet, front, &id).unwrap_or((0, 0));
-                    record.line(&format!("request {id} at gateway {front}: status {status}, {events} events"));
+                    record.line(&format!(
+                        "request {id} at gateway {front}: status {status}, {events} events"
+                    ));
                     delivered.fetch_add(events, Ordering::Relaxed);
                     *statuses.lock().unwrap().entry(status).or_default() += 1;
                     thread::sleep(REQUEST_GAP);
@@ -164,7 +184,10 @@
     let lost = runs.values().filter(|&&lost| lost).count();
     let read = runs.len() as u64 * PROMPT;
     let written = delivered.load(Ordering::Relaxed) * EVENT_TOKENS;
-    record.say(&format!("answers by status (0: none): {:?}", statuses.lock().unwrap()));
+    record.say(&format!(
+        "answers by status (0: none): {:?}",
+        statuses.lock().unwrap()
+    ));
     record.say(&format!(
         "BUDGET: {} requests ran, {lost} of them with a lost answer; {read} tokens read and {written} delivered, of {RESERVED} reserved",
         runs.len()
