--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -1,5 +1,5 @@
-//! Cases of the review as scripts: `standins CASE FOLDER` writes `record.txt` to FOLDER.
-//! With TROUBLE=0 the case runs without its disruption.
+//! Cases of the review as scripts: `standins CASE FOLDER TROUBLE` writes `record.txt` to
+//! FOLDER. If TROUBLE is 0, the case runs without its disruption.
 
 mod engine;
 mod extra;
@@ -41,11 +41,11 @@
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().collect();
-    let [_, case, folder] = args.as_slice() else {
-        eprintln!("usage: standins CASE FOLDER");
+    let [_, case, folder, trouble] = args.as_slice() else {
+        eprintln!("usage: standins CASE FOLDER TROUBLE");
         return ExitCode::from(2);
     };
-    let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let trouble = trouble != "0";
     let root = std::env::current_dir().unwrap_or_default();
     let record = match Record::create(Path::new(folder)) {
         Ok(record) => Arc::new(record),
