--- a/review/standins/src/growth.rs
+++ b/review/standins/src/growth.rs
@@ -26,6 +26,10 @@
 /// Time between two changes: `gap_s` of the `config_storm` among the site's troubles.
 const CHANGE_GAP: Duration = Duration::from_millis(330);
 
+/// Changes in one storm, and the pause before the next one (`for_s` 4.0).
+const STORM_CHANGES: u32 = 12;
+const STORM_PAUSE: Duration = Duration::from_secs(1);
+
 /// Number of changes while the added routes are there.
 const GROWN_CHANGES: u64 = 54;
 
@@ -166,7 +170,8 @@
     let changes: Arc<Mutex<Changes>> = Arc::default();
     let started = Instant::now();
     for number in 0..GROWN_CHANGES + LATER_CHANGES {
-        let due = started + CHANGE_GAP * u32::try_from(number).unwrap_or(0);
+        let index = u32::try_from(number).unwrap_or(0);
+        let due = started + CHANGE_GAP * index + STORM_PAUSE * (index / STORM_CHANGES);
         thread::sleep(due.saturating_duration_since(Instant::now()));
         let version = 2 + number;
         let added = if trouble && number < GROWN_CHANGES {
