--- a/review/standins/src/uncharged.rs
+++ b/review/standins/src/uncharged.rs
@@ -96,10 +96,11 @@
         let (runs, losing, record) = (Arc::clone(&runs), Arc::clone(&losing), Arc::clone(record));
         let count = AtomicU64::new(0);
         let serve: Serve = Arc::new(move |engine, request, conn| {
-            let number = count.fetch_add(1, Ordering::Relaxed);
-            let lost = index < LOSING_ENGINES
-                && losing.load(Ordering::Relaxed)
-                && number % 10 < LOST_OF_TEN;
+            // Of the runs in the disruption, no more than the share is lost at any moment.
+            let lost = index < LOSING_ENGINES && losing.load(Ordering::Relaxed) && {
+                let number = count.fetch_add(1, Ordering::Relaxed) + 1;
+                number * LOST_OF_TEN / 10 > (number - 1) * LOST_OF_TEN / 10
+            };
             record.line(&format!(
                 "engine {} runs {} ({PROMPT} tokens read){}",
                 engine.id,
