Log timeouts of peers, fetches of configurations and slow batches

The logs could not tell whether bodies starve control messages, or whether a timeout takes a live connection down. A timeout now says how many datagrams arrived while the request waited; a fetch of a configuration its peer, bytes, duration and how many run at once; a batch of consensus messages that took long or was lost its bytes.

--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -43,6 +43,17 @@
     pub payload: Payload,
 }
 
+impl Entry {
+    /// Returns the number of bytes of the command, if the entry has one.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        match &self.payload {
+            Payload::Data(data) => data.len(),
+            Payload::Noop | Payload::Members(_) => 0,
+        }
+    }
+}
+
 /// The replicated state as of one entry.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Snapshot {
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -72,3 +72,18 @@
     /// transfers its leadership before it stops.
     TimeoutNow,
 }
+
+impl Message {
+    /// Returns the number of bytes of commands and state that the message carries.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        match self {
+            Self::AppendEntries { entries, .. } => entries.iter().map(Entry::size).sum(),
+            Self::InstallSnapshot { snapshot, .. } => snapshot.data.len(),
+            Self::RequestVote { .. }
+            | Self::VoteResponse { .. }
+            | Self::AppendResponse { .. }
+            | Self::TimeoutNow => 0,
+        }
+    }
+}
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -275,13 +275,27 @@
             let response = codec::read(&mut receiver).await?;
             response.ok_or_else(|| FleetError::ConnectionLost("no answer".to_owned()))
         };
+        let received_before = self.received_datagrams(address);
         let response = exchange.or(fail_after(timeout.into())).await;
         if matches!(response, Err(FleetError::Timeout)) {
+            let received = self.received_datagrams(address);
+            log::info!(
+                "fleet: event=timeout peer={address} waited_ms={} received_before={received_before:?} received={received:?}",
+                timeout.as_millis()
+            );
             self.drop_connection(address);
         }
         response
     }
 
+    /// Returns how many datagrams have arrived on the open connection to a peer.
+    fn received_datagrams(&self, address: SocketAddr) -> Option<u64> {
+        let peer = Arc::clone(self.peers().entry(address).or_default());
+        let state = peer.state.try_lock()?;
+        let connection = state.connection.as_ref()?;
+        Some(connection.stats().udp_rx.datagrams)
+    }
+
     /// Closes the connection to a peer that didn't respond: a restarted peer doesn't
     /// know it, and it would otherwise count as open until the idle timeout.
     fn drop_connection(&self, address: SocketAddr) {
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -7,6 +7,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_io::Timer;
@@ -294,10 +295,21 @@
 
 /// Fetches the configuration that is in force at a peer.
 async fn fetch_config(shared: &ProcessContext, address: SocketAddr) {
-    if let Some(MeshResponse::Config(version, body)) =
-        request_peer(shared, address, MeshRequest::CurrentConfig, UPDATE_TIMEOUT).await
-    {
+    let started_at = shared.now();
+    let running = shared.config_fetches.fetch_add(1, Ordering::Relaxed) + 1;
+    let answer = request_peer(shared, address, MeshRequest::CurrentConfig, UPDATE_TIMEOUT).await;
+    shared.config_fetches.fetch_sub(1, Ordering::Relaxed);
+    let elapsed_ms = started_at.until(shared.now()).as_millis();
+    if let Some(MeshResponse::Config(version, body)) = answer {
+        log::info!(
+            "config: event=fetch peer={address} version={version} bytes={} running={running} ms={elapsed_ms}",
+            body.len()
+        );
         shared.apply_config(version, body);
+    } else {
+        log::info!(
+            "config: event=fetch peer={address} outcome=failed running={running} ms={elapsed_ms}"
+        );
     }
 }
 
--- a/crates/gateway/src/replica_messages.rs
+++ b/crates/gateway/src/replica_messages.rs
@@ -15,6 +15,10 @@
 /// on the slowest links.
 const REPLICA_MESSAGE_TIMEOUT: Span = Span::millis(1_000);
 
+/// Time from which the delivery of a batch is logged: a follower hears no heartbeat while it
+/// lasts.
+const SLOW_BATCH: Span = Span::millis(200);
+
 /// Sends consensus messages, batched per replica and in order.
 pub async fn send_replica_messages(shared: Arc<ProcessContext>, envelopes: Receiver<Envelope>) {
     while let Ok(envelope) = envelopes.recv().await {
@@ -53,14 +57,24 @@
             found.map(|peer| peer.member.address)
         };
         if let Some(address) = address {
+            let started_at = shared.now();
+            let messages = batch.len();
+            let bytes: usize = batch.iter().map(|envelope| envelope.message.size()).sum();
             // The consensus protocol sends lost messages again.
-            let _ = request_peer(
+            let answer = request_peer(
                 shared,
                 address,
                 MeshRequest::Replica(batch),
                 REPLICA_MESSAGE_TIMEOUT,
             )
             .await;
+            let elapsed_ms = started_at.until(shared.now()).as_millis();
+            if answer.is_none() || elapsed_ms >= SLOW_BATCH.as_millis() {
+                log::info!(
+                    "group: event=batch peer={address} messages={messages} bytes={bytes} ms={elapsed_ms} delivered={}",
+                    answer.is_some()
+                );
+            }
         }
         let mut outboxes = shared.outboxes();
         let outbox = outboxes.entry(keeper).or_default();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -155,6 +155,8 @@
     pub grants_needed: Event,
     /// Number of requests in progress.
     pub active_requests: AtomicUsize,
+    /// Number of configurations that are being fetched from peers.
+    pub config_fetches: AtomicUsize,
     /// Notified when callers are no longer accepted.
     pub close_event: Event,
     /// Whether callers are no longer accepted.
@@ -326,6 +328,7 @@
             crash_news: Event::new(),
             grants_needed: Event::new(),
             active_requests: AtomicUsize::new(0),
+            config_fetches: AtomicUsize::new(0),
             close_event: Event::new(),
             refuses_callers: AtomicBool::new(false),
             node: OnceLock::new(),
