Keep a connection to a peer whose answer is late

Callers saw 503s and 404s by an old configuration while nothing was wrong: lost grants, votes and parts of configurations on connections that the process itself had closed. Cause: a request that timed out closed the connection to the peer with everything else on it, although the peer was answering. The class: a deadline of one piece of work is taken as proof that the peer is gone, and the reaction destroys what others have done.

A connection is now closed only if requests waited 700 ms on it and not one datagram arrived, or if the peer's next run introduces itself. Long requests can be sent behind all other data on the connection (request_bulk).

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`codec`]: length-prefixed messages on a stream.
 //! - [`error`]: transport errors.
 //! - [`credentials`]: the certificate authority and the certificates of processes.
+//! - [`liveness`]: whether a connection is alive while requests wait on it.
 //! - [`mesh`]: messages between gateway processes.
 //! - [`node`]: the connections of a process.
 //! - [`runtime`]: the adapter from the QUIC library to the worker pool.
@@ -11,6 +12,7 @@
 pub mod codec;
 pub mod credentials;
 pub mod error;
+mod liveness;
 pub mod mesh;
 pub mod node;
 pub mod runtime;
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -9,6 +9,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -28,6 +29,7 @@
 use crate::credentials::FLEET_SERVER_NAME;
 use crate::credentials::TlsCredentials;
 use crate::error::FleetError;
+use crate::liveness::Liveness;
 use crate::runtime::PoolRuntime;
 use crate::wire::Hello;
 use crate::wire::PROTOCOL;
@@ -44,6 +46,10 @@
 /// Bounds how long a connection may be silent before it counts as broken.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Bounds how long requests may wait on a connection on which nothing arrives. Processes
+/// that are short of processor time acknowledge packets some hundred milliseconds late.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// Interval between keep-alive packets on an idle connection.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(1_500);
 
@@ -58,6 +64,12 @@
 /// Bounds the unacknowledged data on a stream (its receive window).
 const STREAM_WINDOW_BYTES: u32 = 1 << 20;
 
+/// Priority of the streams of requests; data of a higher priority is sent first.
+const CONTROL_PRIORITY: i32 = 0;
+
+/// Priority of the streams of long requests.
+const BULK_PRIORITY: i32 = -1;
+
 /// A boxed future that can be sent between threads.
 pub type BoxFuture<T> = Pin<Box<dyn Future<Output = T> + Send>>;
 
@@ -122,6 +134,13 @@
 #[derive(Default)]
 struct Peer {
     state: async_lock::Mutex<ConnectionState>,
+    liveness: Mutex<Liveness>,
+}
+
+impl Peer {
+    fn liveness(&self) -> MutexGuard<'_, Liveness> {
+        self.liveness.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 #[derive(Default)]
@@ -268,45 +287,88 @@
         request: PeerRequest,
         timeout: Span,
     ) -> Result<PeerResponse, FleetError> {
+        self.exchange(address, request, timeout, CONTROL_PRIORITY)
+            .await
+    }
+
+    /// Sends a long request like [`Self::request`], but behind all other data on the
+    /// connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer can't be reached or doesn't respond in time.
+    pub async fn request_bulk(
+        &self,
+        address: SocketAddr,
+        request: PeerRequest,
+        timeout: Span,
+    ) -> Result<PeerResponse, FleetError> {
+        self.exchange(address, request, timeout, BULK_PRIORITY)
+            .await
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: PeerRequest,
+        timeout: Span,
+        priority: i32,
+    ) -> Result<PeerResponse, FleetError> {
+        let mut used = None;
         let exchange = async {
-            let (mut sender, mut receiver) = self.open_bi(address).await?;
+            let connection = self.connection(address).await?;
+            self.peer(address).liveness().begin_wait(&connection);
+            used = Some(connection.clone());
+            let (mut sender, mut receiver) = open_bi(&connection).await?;
+            // Fails only if the stream is closed, which the write reports.
+            let _ = sender.set_priority(priority);
             codec::write(&mut sender, &Hello::Request(request)).await?;
             let _ = sender.finish();
             let response = codec::read(&mut receiver).await?;
             response.ok_or_else(|| FleetError::ConnectionLost("no answer".to_owned()))
         };
-        let received_before = self.received_datagrams(address);
         let response = exchange.or(fail_after(timeout.into())).await;
-        if matches!(response, Err(FleetError::Timeout)) {
-            let received = self.received_datagrams(address);
-            log::info!(
-                "fleet: event=timeout peer={address} waited_ms={} received_before={received_before:?} received={received:?}",
-                timeout.as_millis()
-            );
-            self.drop_connection(address);
+        let Some(connection) = used else {
+            return response;
+        };
+        match &response {
+            Ok(_) => self.peer(address).liveness().end_wait(),
+            Err(FleetError::Timeout) => self.close_if_silent(address, &connection, timeout),
+            Err(_) => {}
         }
         response
     }
 
-    /// Returns how many datagrams have arrived on the open connection to a peer.
-    fn received_datagrams(&self, address: SocketAddr) -> Option<u64> {
-        let peer = Arc::clone(self.peers().entry(address).or_default());
-        let state = peer.state.try_lock()?;
-        let connection = state.connection.as_ref()?;
-        Some(connection.stats().udp_rx.datagrams)
+    /// Closes `connection` if nothing has arrived on it for [`SILENCE_TIMEOUT`]: a restarted
+    /// peer doesn't know it, and it would otherwise count as open until the idle timeout.
+    ///
+    /// A slow response alone is no reason: the connection carries other requests.
+    fn close_if_silent(&self, address: SocketAddr, connection: &quinn::Connection, waited: Span) {
+        let silent = self.peer(address).liveness().silence(connection);
+        log::info!(
+            "fleet: event=timeout peer={address} waited_ms={} silent_ms={}",
+            waited.as_millis(),
+            silent.as_millis()
+        );
+        if silent >= SILENCE_TIMEOUT {
+            log::info!("fleet: event=closed peer={address} reason=silent");
+            connection.close(1_u32.into(), b"no answer");
+        }
     }
 
-    /// Closes the connection to a peer that didn't respond: a restarted peer doesn't
-    /// know it, and it would otherwise count as open until the idle timeout.
-    fn drop_connection(&self, address: SocketAddr) {
-        let peer = Arc::clone(self.peers().entry(address).or_default());
-        if let Some(mut state) = peer.state.try_lock()
+    /// Closes the connection to a peer that is known to have restarted.
+    pub fn disconnect(&self, address: SocketAddr) {
+        if let Some(mut state) = self.peer(address).state.try_lock()
             && let Some(connection) = state.connection.take()
         {
-            connection.close(1_u32.into(), b"no answer");
+            connection.close(1_u32.into(), b"restarted");
         }
     }
 
+    fn peer(&self, address: SocketAddr) -> Arc<Peer> {
+        Arc::clone(self.peers().entry(address).or_default())
+    }
+
     /// Opens a stream of frames from the peer at `address`.
     ///
     /// # Errors
@@ -317,27 +379,19 @@
         address: SocketAddr,
         request: StreamRequest,
     ) -> Result<FrameReceiver, FleetError> {
-        let (mut sender, receiver) = self.open_bi(address).await?;
+        let connection = self.connection(address).await?;
+        let (mut sender, receiver) = open_bi(&connection).await?;
         codec::write(&mut sender, &Hello::OpenStream(request)).await?;
         let _ = sender.finish();
         Ok(FrameReceiver { stream: receiver })
     }
 
-    async fn open_bi(
-        &self,
-        address: SocketAddr,
-    ) -> Result<(quinn::SendStream, quinn::RecvStream), FleetError> {
-        let connection = self.connection(address).await?;
-        let opened = connection.open_bi().await;
-        opened.map_err(|error| FleetError::Connect(error.to_string()))
-    }
-
     /// Returns the connection to a peer; connects if there is no open one.
     ///
     /// After a failed attempt, further calls fail immediately for
     /// [`RECONNECT_INTERVAL`], so that a peer that is down costs one attempt at a time.
     async fn connection(&self, address: SocketAddr) -> Result<quinn::Connection, FleetError> {
-        let peer = Arc::clone(self.peers().entry(address).or_default());
+        let peer = self.peer(address);
         let mut state = peer.state.lock().await;
         if let Some(connection) = &state.connection
             && connection.close_reason().is_none()
@@ -384,6 +438,13 @@
     }
 }
 
+async fn open_bi(
+    connection: &quinn::Connection,
+) -> Result<(quinn::SendStream, quinn::RecvStream), FleetError> {
+    let opened = connection.open_bi().await;
+    opened.map_err(|error| FleetError::Connect(error.to_string()))
+}
+
 async fn fail_after(timeout: Duration) -> Result<PeerResponse, FleetError> {
     Timer::after(timeout).await;
     Err(FleetError::Timeout)
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -192,6 +192,10 @@
     }
     if replaced {
         if let Some(old) = state.peers.remove(&member.address) {
+            if let Some(node) = shared.node.get() {
+                // The new process doesn't know the connection.
+                node.disconnect(member.address);
+            }
             for engine_pool in state.engine_pools.values_mut() {
                 engine_pool.remove_peer(old.member.run_id);
             }
