Send heartbeats past entries in flight

Callers saw 503s for budgets that could not be reached and old configurations while leaders changed in most seconds, though nothing was disturbed. Cause: heartbeats were appends without entries in the one ordered queue to a replica, behind entries that took longer than an election timeout; the queue dropped its oldest messages when sixteen waited, the gap was rejected, and the whole tail of the log was sent again (16 messages of 1.3 to 3.1 MB in one batch). The class: a liveness signal shares a queue with what it is to outlive.

While a follower may lack entries that were sent, the leader also sends it a heartbeat that refers to no entries and may overtake them. Heartbeats, votes and responses have a queue of their own; entries go behind all other data on the connection.

--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -71,6 +71,19 @@
     /// Asks the receiver to start an election at once; sent by a leader that
     /// transfers its leadership before it stops.
     TimeoutNow,
+    /// Says that the leader is alive. Unlike [`Message::AppendEntries`] it refers to no
+    /// entries, so it may overtake those in flight.
+    Heartbeat {
+        /// An index up to which the receiver's log is known to match and is committed.
+        commit_index: u64,
+        /// The heartbeat round.
+        round: u64,
+    },
+    /// Answers [`Message::Heartbeat`].
+    HeartbeatResponse {
+        /// The heartbeat round that this answers.
+        round: u64,
+    },
 }
 
 impl Message {
@@ -83,7 +96,26 @@
             Self::RequestVote { .. }
             | Self::VoteResponse { .. }
             | Self::AppendResponse { .. }
-            | Self::TimeoutNow => 0,
+            | Self::TimeoutNow
+            | Self::Heartbeat { .. }
+            | Self::HeartbeatResponse { .. } => 0,
         }
     }
+
+    /// Returns whether the message belongs to the sequence of entries and snapshots, in which
+    /// a message that overtakes another one is rejected.
+    #[must_use]
+    pub fn is_ordered(&self) -> bool {
+        matches!(
+            self,
+            Self::AppendEntries { .. } | Self::InstallSnapshot { .. } | Self::TimeoutNow
+        )
+    }
+
+    /// Returns whether the message is an append without entries, which only finds out whether
+    /// those before it have arrived.
+    #[must_use]
+    pub fn is_probe(&self) -> bool {
+        matches!(self, Self::AppendEntries { entries, .. } if entries.is_empty())
+    }
 }
--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -1,10 +1,22 @@
 //! A leader's replication state for one follower.
 
-/// Most entries sent to a follower that it hasn't acknowledged yet.
-const MAX_INFLIGHT_ENTRIES: u64 = 8192;
+use std::collections::VecDeque;
 
-/// A leader's replication state for one follower.
+/// Most append messages with entries that a follower hasn't acknowledged yet.
+const MAX_INFLIGHT_MESSAGES: usize = 8;
+
+/// Bytes in flight from which no further entries are sent until some are acknowledged.
+const MAX_INFLIGHT_BYTES: usize = 1 << 20;
+
+/// An append message that the follower hasn't acknowledged yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct InflightAppend {
+    last_index: u64,
+    bytes: usize,
+}
+
+/// A leader's replication state for one follower.
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Progress {
     /// The index up to which the follower's log is known to match.
     pub match_index: u64,
@@ -16,6 +28,7 @@
     pub recently_active: bool,
     /// Ticks until the snapshot may be sent again.
     pub snapshot_pause: u32,
+    inflight: VecDeque<InflightAppend>,
 }
 
 impl Progress {
@@ -29,12 +42,43 @@
             acked_round: 0,
             recently_active: false,
             snapshot_pause: 0,
+            inflight: VecDeque::new(),
         }
     }
 
-    /// Returns whether the limit of unacknowledged entries allows sending more.
+    /// Returns whether the limits of unacknowledged messages allow sending entries. What is
+    /// held back goes out together with the next acknowledgement.
     #[must_use]
     pub fn can_send(&self) -> bool {
-        self.next_index.saturating_sub(self.match_index) <= MAX_INFLIGHT_ENTRIES
+        let bytes: usize = self.inflight.iter().map(|append| append.bytes).sum();
+        self.inflight.len() < MAX_INFLIGHT_MESSAGES && bytes < MAX_INFLIGHT_BYTES
+    }
+
+    /// Returns whether the follower may not have all that was sent to it.
+    #[must_use]
+    pub fn is_behind(&self) -> bool {
+        self.next_index > self.match_index + 1
+    }
+
+    /// Records that entries up to `last_index` were sent.
+    pub fn record_sent(&mut self, last_index: u64, bytes: usize) {
+        self.next_index = last_index + 1;
+        self.inflight
+            .push_back(InflightAppend { last_index, bytes });
+    }
+
+    /// Records that the follower's log matches up to `index`.
+    pub fn record_match(&mut self, index: u64) {
+        self.match_index = self.match_index.max(index);
+        self.next_index = self.next_index.max(index + 1);
+        let matched = self.match_index;
+        self.inflight.retain(|append| append.last_index > matched);
+    }
+
+    /// Records that the follower lacks entries before the last ones sent; they are sent again
+    /// from `next_hint` on.
+    pub fn record_rejection(&mut self, next_hint: u64) {
+        self.next_index = next_hint.max(self.match_index + 1);
+        self.inflight.clear();
     }
 }
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -454,6 +454,21 @@
                     self.on_append_response(from, match_index, next_hint, round, &mut effects);
                 }
             }
+            Message::Heartbeat {
+                commit_index,
+                round,
+            } => {
+                if self.accept_leader(from, term, &mut effects) {
+                    self.on_heartbeat(from, commit_index, round, &mut effects);
+                }
+            }
+            Message::HeartbeatResponse { round } => {
+                if term > self.hard_state.term {
+                    self.step_down(term, None, &mut effects);
+                } else if term == self.hard_state.term && self.role == Role::Leader {
+                    self.on_heartbeat_response(from, round, &mut effects);
+                }
+            }
             Message::TimeoutNow => {
                 if term == self.hard_state.term
                     && self.members().is_voter(self.id)
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -41,6 +41,18 @@
         if !has_missing && !heartbeat {
             return;
         }
+        let (is_behind, match_index) = (progress.is_behind(), progress.match_index);
+        if heartbeat && is_behind {
+            // Entries and snapshots can take longer than an election timeout.
+            let message = Message::Heartbeat {
+                commit_index: self.commit_index.min(match_index),
+                round: self.round,
+            };
+            self.send(to, message, effects);
+        }
+        let Some(progress) = self.followers.get_mut(&to) else {
+            return;
+        };
         if progress.next_index <= self.log.snapshot().position.index {
             if progress.snapshot_pause == 0 {
                 progress.snapshot_pause = SNAPSHOT_INTERVAL_TICKS;
@@ -58,7 +70,10 @@
         } else {
             Vec::new()
         };
-        progress.next_index += entries.len() as u64;
+        if let Some(last) = entries.last() {
+            let bytes = entries.iter().map(Entry::size).sum();
+            progress.record_sent(last.position.index, bytes);
+        }
         let message = Message::AppendEntries {
             prev_position: Position {
                 term: self.log.term_at(prev_index).unwrap_or(0),
@@ -128,6 +143,32 @@
         effects.writes.push(LogWrite::Append(entry));
     }
 
+    pub(crate) fn on_heartbeat(
+        &mut self,
+        from: KeeperId,
+        commit_index: u64,
+        round: u64,
+        effects: &mut Effects,
+    ) {
+        let commit_index = commit_index.min(self.log.last_position().index);
+        self.commit_to(commit_index.max(self.commit_index), effects);
+        self.send(from, Message::HeartbeatResponse { round }, effects);
+    }
+
+    pub(crate) fn on_heartbeat_response(
+        &mut self,
+        from: KeeperId,
+        round: u64,
+        effects: &mut Effects,
+    ) {
+        let Some(progress) = self.followers.get_mut(&from) else {
+            return;
+        };
+        progress.recently_active = true;
+        progress.acked_round = progress.acked_round.max(round);
+        self.complete_reads(effects);
+    }
+
     pub(crate) fn on_install_snapshot(
         &mut self,
         from: KeeperId,
@@ -165,10 +206,9 @@
         progress.recently_active = true;
         progress.acked_round = progress.acked_round.max(round);
         if let Some(index) = match_index {
-            progress.match_index = progress.match_index.max(index);
-            progress.next_index = progress.next_index.max(index + 1);
+            progress.record_match(index);
         } else {
-            progress.next_index = next_hint.max(progress.match_index + 1);
+            progress.record_rejection(next_hint);
         }
         let old_commit = self.commit_index;
         self.advance_commit(effects);
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -12,6 +12,7 @@
 use async_io::Timer;
 use base::Span;
 use base::Time;
+use fleet::FleetError;
 use fleet::mesh::Member;
 use fleet::mesh::MeshRequest;
 use fleet::mesh::MeshResponse;
@@ -149,11 +150,29 @@
     request: MeshRequest,
     timeout: Span,
 ) -> Option<MeshResponse> {
+    let request = fleet::PeerRequest::Mesh(request);
+    let answer = shared.node.get()?.request(address, request, timeout).await;
+    mesh_response(address, answer)
+}
+
+/// Sends a long request like [`request_peer`], but behind all other data for the peer.
+pub async fn request_peer_bulk(
+    shared: &ProcessContext,
+    address: SocketAddr,
+    request: MeshRequest,
+    timeout: Span,
+) -> Option<MeshResponse> {
+    let request = fleet::PeerRequest::Mesh(request);
     let node = shared.node.get()?;
-    match node
-        .request(address, fleet::PeerRequest::Mesh(request), timeout)
-        .await
-    {
+    let answer = node.request_bulk(address, request, timeout).await;
+    mesh_response(address, answer)
+}
+
+fn mesh_response(
+    address: SocketAddr,
+    answer: Result<fleet::PeerResponse, FleetError>,
+) -> Option<MeshResponse> {
+    match answer {
         Ok(fleet::PeerResponse::Mesh(answer)) => Some(answer),
         Ok(_) => None,
         Err(error) => {
--- a/crates/gateway/src/replica_messages.rs
+++ b/crates/gateway/src/replica_messages.rs
@@ -1,5 +1,6 @@
 //! Messages of the replicated log to other replicas: in order, one batch in flight to each.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use async_channel::Receiver;
@@ -9,21 +10,22 @@
 use fleet::mesh::MeshRequest;
 
 use crate::mesh::request_peer;
+use crate::mesh::request_peer_bulk;
+use crate::outbox::Lane;
 use crate::state::ProcessContext;
 
 /// Maximum wait for a peer to accept consensus messages: a megabyte takes half a second
 /// on the slowest links.
 const REPLICA_MESSAGE_TIMEOUT: Span = Span::millis(1_000);
 
-/// Time from which the delivery of a batch is logged: a follower hears no heartbeat while it
-/// lasts.
+/// Time from which the delivery of a batch is logged.
 const SLOW_BATCH: Span = Span::millis(200);
 
 /// Sends consensus messages, batched per replica and in order.
 pub async fn send_replica_messages(shared: Arc<ProcessContext>, envelopes: Receiver<Envelope>) {
     while let Ok(envelope) = envelopes.recv().await {
-        let keeper = envelope.to;
-        shared.outboxes().entry(keeper).or_default().push(envelope);
+        let queue = (envelope.to, Lane::of(&envelope.message));
+        shared.outboxes().entry(queue).or_default().push(envelope);
         // Messages that were produced together are sent together.
         if envelopes.is_empty() {
             start_batches(&shared);
@@ -34,20 +36,21 @@
 /// Starts a batch to each replica that has queued messages and no batch in flight.
 fn start_batches(shared: &Arc<ProcessContext>) {
     let mut ready = Vec::new();
-    for (&keeper, outbox) in shared.outboxes().iter_mut() {
+    for (&queue, outbox) in shared.outboxes().iter_mut() {
         if let Some(batch) = outbox.next_batch() {
-            ready.push((keeper, batch));
+            ready.push((queue, batch));
         }
     }
-    for (keeper, batch) in ready {
+    for (queue, batch) in ready {
         let shared = Arc::clone(shared);
         let pool = shared.pool.clone();
-        pool.spawn(async move { send_batches(&shared, keeper, batch).await });
+        pool.spawn(async move { send_batches(&shared, queue, batch).await });
     }
 }
 
-/// Sends batches to a replica until its queue is empty.
-async fn send_batches(shared: &ProcessContext, keeper: KeeperId, first: Vec<Envelope>) {
+/// Sends batches of a queue to its replica until the queue is empty.
+async fn send_batches(shared: &ProcessContext, queue: (KeeperId, Lane), first: Vec<Envelope>) {
+    let (keeper, lane) = queue;
     let mut next = Some(first);
     while let Some(batch) = next {
         let address = {
@@ -57,28 +60,36 @@
             found.map(|peer| peer.member.address)
         };
         if let Some(address) = address {
-            let started_at = shared.now();
-            let messages = batch.len();
-            let bytes: usize = batch.iter().map(|envelope| envelope.message.size()).sum();
-            // The consensus protocol sends lost messages again.
-            let answer = request_peer(
-                shared,
-                address,
-                MeshRequest::Replica(batch),
-                REPLICA_MESSAGE_TIMEOUT,
-            )
-            .await;
-            let elapsed_ms = started_at.until(shared.now()).as_millis();
-            if answer.is_none() || elapsed_ms >= SLOW_BATCH.as_millis() {
-                log::info!(
-                    "group: event=batch peer={address} messages={messages} bytes={bytes} ms={elapsed_ms} delivered={}",
-                    answer.is_some()
-                );
-            }
+            send_batch(shared, address, lane, batch).await;
         }
         let mut outboxes = shared.outboxes();
-        let outbox = outboxes.entry(keeper).or_default();
+        let outbox = outboxes.entry(queue).or_default();
         outbox.finish_batch();
         next = outbox.next_batch();
     }
 }
+
+/// Sends one batch; the consensus protocol sends lost messages again.
+async fn send_batch(
+    shared: &ProcessContext,
+    address: SocketAddr,
+    lane: Lane,
+    batch: Vec<Envelope>,
+) {
+    let started_at = shared.now();
+    let messages = batch.len();
+    let bytes: usize = batch.iter().map(|envelope| envelope.message.size()).sum();
+    let request = MeshRequest::Replica(batch);
+    let delivered = match lane {
+        Lane::Control => request_peer(shared, address, request, REPLICA_MESSAGE_TIMEOUT).await,
+        Lane::Log => request_peer_bulk(shared, address, request, REPLICA_MESSAGE_TIMEOUT).await,
+    };
+    let delivered = delivered.is_some();
+    let elapsed = started_at.until(shared.now());
+    if !delivered || elapsed >= SLOW_BATCH {
+        log::info!(
+            "group: event=batch peer={address} lane={lane:?} messages={messages} bytes={bytes} ms={} delivered={delivered}",
+            elapsed.as_millis()
+        );
+    }
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -48,6 +48,7 @@
 use crate::connection_pool::ConnectionPool;
 use crate::group::Group;
 use crate::metrics::GatewayMetrics;
+use crate::outbox::Lane;
 use crate::outbox::Outbox;
 
 /// Number of missed announcements after which an engine isn't used; announcements can
@@ -174,7 +175,7 @@
     /// Time of the request to stop, in microseconds; zero before.
     stop_time: AtomicU64,
     /// Messages for other replicas. If both locks are needed, the state is locked first.
-    outboxes: Mutex<Map<KeeperId, Outbox>>,
+    outboxes: Mutex<Map<(KeeperId, Lane), Outbox>>,
     state: Mutex<ProcessState>,
 }
 
@@ -384,7 +385,7 @@
     }
 
     /// Locks the queues of messages for other replicas.
-    pub fn outboxes(&self) -> MutexGuard<'_, Map<KeeperId, Outbox>> {
+    pub fn outboxes(&self) -> MutexGuard<'_, Map<(KeeperId, Lane), Outbox>> {
         self.outboxes.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
