Add a configuration to the log once, however often it is sent

Cause: each try added the whole body to the log once more, behind all tries before it, and was answered only once it was committed itself. The class: a retry that costs as much as the first try, at the moment at which the first one is slow.

A version that has been accepted is acknowledged from the applied state, at any process that has it in force; one that is proposed already gets one more reply, not one more entry.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -206,6 +206,12 @@
         return (400, error_body(&reasons));
     }
     let version = site.version;
+    let present = shared.config_version();
+    if version <= present {
+        // What is in force has been accepted.
+        log::info!("config: event=submit version={version} outcome=acknowledged newest={present}");
+        return (200, b"{}".to_vec());
+    }
     let request = MeshRequest::Submit(version, PackedConfig::pack(body).as_bytes().to_vec());
     match leader_requests::request_leader(shared, &request, CONFIG_TIMEOUT).await {
         MeshResponse::Version(newest) => {
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -284,7 +284,9 @@
 /// A proposal that hasn't been applied yet.
 struct PendingProposal {
     term: u64,
-    reply: Reply,
+    /// The version, if it proposes a configuration.
+    config_version: Option<u64>,
+    replies: Vec<Reply>,
 }
 
 /// The state of the thread while the disk works.
@@ -463,17 +465,7 @@
                 }
             }
             Input::SubmitConfig(version, body, budgets, reply) => {
-                let voters = self.local.replica.members().voters.len();
-                if self.local.state.config_version == 0 && voters < self.options.quorum_size {
-                    self.responses.push((reply, MeshResponse::Unavailable));
-                    return;
-                }
-                let command = Command::AcceptConfig {
-                    version,
-                    body,
-                    budgets,
-                };
-                self.propose(&command, reply);
+                self.submit_config(version, body, budgets, reply);
             }
             Input::DrawGrants(lease, demands, reply) => {
                 self.propose(&Command::Draw { lease, demands }, reply);
@@ -500,6 +492,39 @@
         }
     }
 
+    /// Proposes a configuration, unless its version has been accepted or proposed already: the
+    /// operator sends a version again until it is acknowledged.
+    fn submit_config(
+        &mut self,
+        version: u64,
+        body: Vec<u8>,
+        budgets: Vec<(String, u64)>,
+        reply: Reply,
+    ) {
+        let accepted = self.local.state.config_version;
+        if version <= accepted {
+            self.responses
+                .push((reply, MeshResponse::Version(accepted)));
+            return;
+        }
+        let mut pending = self.proposals.values_mut();
+        if let Some(same) = pending.find(|proposal| proposal.config_version == Some(version)) {
+            same.replies.push(reply);
+            return;
+        }
+        let voters = self.local.replica.members().voters.len();
+        if accepted == 0 && voters < self.options.quorum_size {
+            self.responses.push((reply, MeshResponse::Unavailable));
+            return;
+        }
+        let command = Command::AcceptConfig {
+            version,
+            body,
+            budgets,
+        };
+        self.propose(&command, reply);
+    }
+
     /// Removes a member that isn't present, if enough others are.
     fn remove_absent_member(&mut self, mut present: Vec<KeeperId>) {
         let replica = &self.local.replica;
@@ -597,9 +622,16 @@
         match self.local.replica.propose(bytes) {
             Ok((position, effects)) => {
                 self.merge_effects(effects);
-                let term = position.term;
-                self.proposals
-                    .insert(position.index, PendingProposal { term, reply });
+                let config_version = match command {
+                    Command::AcceptConfig { version, .. } => Some(*version),
+                    _ => None,
+                };
+                let pending = PendingProposal {
+                    term: position.term,
+                    config_version,
+                    replies: vec![reply],
+                };
+                self.proposals.insert(position.index, pending);
             }
             Err(_) => self.responses.push((reply, MeshResponse::Unavailable)),
         }
@@ -735,7 +767,9 @@
             Outcome::AddressRecorded => MeshResponse::Done,
             Outcome::Granted(granted) => MeshResponse::Granted(granted),
         };
-        self.responses.push((pending.reply, answer));
+        for reply in pending.replies {
+            self.responses.push((reply, answer.clone()));
+        }
     }
 
     fn compact(&mut self) -> Result<(), GroupError> {
@@ -774,9 +808,10 @@
             self.address_proposed = false;
             if leader != Some(replica.id()) {
                 let lost = std::mem::take(&mut self.proposals);
-                for pending in lost.into_values() {
+                let replies = lost.into_values().flat_map(|pending| pending.replies);
+                for reply in replies {
                     // A replica that doesn't lead doesn't learn the outcome.
-                    let _ = pending.reply.try_send(MeshResponse::Unavailable);
+                    let _ = reply.try_send(MeshResponse::Unavailable);
                 }
             }
             (self.options.output)(Output::LeaderChanged(leader));
