gateway: an address for peers that differs from the bound one

Behind a mapped port, peers can't reach the address that a process binds, and the address was always announced. `--advertise IP:PORT` names the one that peers use; the process is known by it everywhere, and reaches its seeds at the same port.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,5 +1,6 @@
 //! The gateway role: forwards requests unchanged.
 //!
+//! - [`advertise`]: checks the address that peers use.
 //! - [`budget`]: draws, lends and returns grants of teams' tokens.
 //! - [`conn`]: a TCP connection with its receive buffer.
 //! - [`connection_pool`]: idle connections to engines.
@@ -20,6 +21,7 @@
 //! - [`witness`]: records entries' high-water marks at witnesses.
 //! - [`witness_log`]: the journal of high-water marks on a witness's disk.
 
+pub mod advertise;
 pub mod budget;
 pub mod conn;
 pub mod connection_pool;
@@ -41,3 +43,4 @@
 pub mod witness_log;
 
 pub use crate::process::Gateway;
+pub use crate::process::GatewayOptions;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -358,9 +358,10 @@
     (update, ids)
 }
 
-/// Returns the mesh address of the process with this control address.
+/// Returns the mesh address of the process with this control address. All processes are
+/// reached at the same port.
 fn mesh_address(shared: &ProcessContext, control: std::net::SocketAddrV4) -> SocketAddr {
-    SocketAddr::from((*control.ip(), shared.settings.ports.0))
+    SocketAddr::from((*control.ip(), shared.own_member.address.port()))
 }
 
 /// Returns the addresses to send an update to now.
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -53,6 +53,15 @@
 /// Interval at which the settings file is checked for changes.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Options of a process that its settings file doesn't hold.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct GatewayOptions {
+    /// Port of the separate metrics listener, if there is one.
+    pub metrics: Option<u16>,
+    /// Address that peers use, if it differs from the bound one.
+    pub advertised: Option<SocketAddrV4>,
+}
+
 /// Why a process can't start.
 #[derive(Debug, Error)]
 pub enum StartError {
@@ -79,8 +88,7 @@
 }
 
 impl Gateway {
-    /// Starts a process with `settings` on `pool`; metrics are also served on port
-    /// `metrics`, if there is one.
+    /// Starts a process with `settings` and `options` on `pool`.
     ///
     /// # Errors
     ///
@@ -88,10 +96,11 @@
     pub fn spawn(
         pool: &Pool,
         settings: NodeSettings,
-        metrics: Option<u16>,
+        options: GatewayOptions,
     ) -> Result<Self, StartError> {
         let clock = Clock::start();
-        let address = SocketAddr::from((settings.ip, settings.ports.0));
+        let bound = SocketAddr::from((settings.ip, settings.ports.0));
+        let address = options.advertised.map_or(bound, SocketAddr::from);
         let (output_sender, outputs) = async_channel::unbounded();
         let (envelope_sender, envelopes) = async_channel::bounded(MAX_QUEUED_ENVELOPES);
         let group = match &settings.data_dir {
@@ -125,7 +134,7 @@
             bootstrapping: settings.bootstrap && group.is_some(),
         };
         log::info!(
-            "gateway: event=start name={} domain={} address={address} keeper={:?} first_start={} seeds={:?}",
+            "gateway: event=start name={} domain={} address={address} bound={bound} keeper={:?} first_start={} seeds={:?}",
             settings.name,
             settings.domain,
             own.keeper,
@@ -135,7 +144,7 @@
         let shared = Arc::new(ProcessContext::new(settings, pool, own, group, clock));
         let node = Node::bind(
             pool,
-            address,
+            bound,
             &TlsCredentials::ephemeral()?,
             peer_service(&shared),
             fleet::node::MAX_REQUEST_STREAMS,
@@ -143,7 +152,7 @@
         // Set only here, so that it can't fail.
         let _ = shared.node.set(node);
         let gateway = Self { shared };
-        gateway.bind(metrics)?;
+        gateway.bind(options.metrics)?;
         gateway.spawn_tasks(outputs, envelopes);
         Ok(gateway)
     }
--- a/crates/mulberryd/src/main.rs
+++ b/crates/mulberryd/src/main.rs
@@ -7,7 +7,11 @@
 use daemon::Process;
 use daemon::Settings;
 use eyre::Result;
+use eyre::WrapErr as _;
 use gateway::Gateway;
+use gateway::GatewayOptions;
+use gateway::advertise;
+use getopts::Matches;
 use getopts::Options;
 use host::Pool;
 use host::signals::ControlSignal;
@@ -30,6 +34,12 @@
         "run the gateway with the platform's settings",
     );
     options.optopt("", "metrics", "port for the gateway's metrics", "PORT");
+    options.optopt(
+        "",
+        "advertise",
+        "address that the gateway's peers use, if it differs from the bound one",
+        "IP:PORT",
+    );
     options.optflag("h", "help", "print this help");
     options.optflag("V", "version", "print the version");
     options
@@ -51,13 +61,23 @@
     Ok(())
 }
 
+/// Returns the gateway's options on the command line.
+fn gateway_options(matches: &Matches) -> Result<GatewayOptions> {
+    let advertised = matches.opt_str("advertise");
+    let advertised = advertised.map(|text| advertise::parse_advertised(&text));
+    Ok(GatewayOptions {
+        metrics: matches.opt_get("metrics").wrap_err("--metrics")?,
+        advertised: advertised.transpose().wrap_err("--advertise")?,
+    })
+}
+
 /// Runs the gateway until a stop signal.
-fn run_gateway(settings: NodeSettings, metrics: Option<u16>) -> Result<()> {
+fn run_gateway(settings: NodeSettings, options: GatewayOptions) -> Result<()> {
     let _logger = host::logs::init_stdout(GATEWAY_LOG_LEVEL)?;
     let signals = host::signals::control_signals()?;
     let pool = Pool::start(1);
     let name = settings.name.clone();
-    let gateway = Gateway::spawn(&pool, settings, metrics)?;
+    let gateway = Gateway::spawn(&pool, settings, options)?;
     futures_lite::future::block_on(async {
         while let Ok(signal) = signals.recv().await {
             match signal {
@@ -73,7 +93,7 @@
 }
 
 /// Loads the platform's settings and runs the gateway; with `check`, only checks them.
-fn load_and_run_gateway(check: bool, metrics: Option<u16>) -> ExitCode {
+fn load_and_run_gateway(check: bool, options: GatewayOptions) -> ExitCode {
     let settings = match NodeSettings::load() {
         Ok(settings) => settings,
         Err(error) => {
@@ -85,7 +105,7 @@
         println!("{}: no faults", NodeSettings::path().display());
         return ExitCode::SUCCESS;
     }
-    match run_gateway(settings, metrics) {
+    match run_gateway(settings, options) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("mulberryd: {error}");
@@ -112,14 +132,13 @@
         return ExitCode::SUCCESS;
     }
     if matches.opt_present("gateway") {
-        let metrics = match matches.opt_get("metrics") {
-            Ok(metrics) => metrics,
+        return match gateway_options(&matches) {
+            Ok(options) => load_and_run_gateway(matches.opt_present("check"), options),
             Err(error) => {
-                eprintln!("mulberryd: --metrics: {error}");
-                return ExitCode::from(2);
+                eprintln!("mulberryd: {error:#}");
+                ExitCode::from(2)
             }
         };
-        return load_and_run_gateway(matches.opt_present("check"), metrics);
     }
     let [file] = matches.free.as_slice() else {
         eprintln!("mulberryd: expected one FILE\n{USAGE}");
