soak: links and processors with limits, and rollouts of large configurations

Processes of the soak exchanged datagrams directly and without limits, so that it could not show a configuration that is late because of its size.

A relay of datagrams now stands between the processes: a link for each, with rate, delay and a bounded queue in both directions, that can be cut or silenced. Processes are limited to a part of a core.

--- a/crates/mulberryctl/src/command.rs
+++ b/crates/mulberryctl/src/command.rs
@@ -31,6 +31,7 @@
 use crate::operate::OperatorClient;
 use crate::report;
 use crate::soak_tool;
+use crate::soak_tool::RolloutPlan;
 use crate::soak_tool::SoakPlan;
 
 /// A subcommand, with its help text and its function.
@@ -42,6 +43,32 @@
     run: fn(&Matches) -> Result<()>,
 }
 
+/// Returns the sizes of a rollout, if `--gateways` asks for one.
+fn rollout_plan(matches: &Matches) -> Result<Option<RolloutPlan>> {
+    let Some(gateways) = matches.opt_get("gateways")? else {
+        return Ok(None);
+    };
+    if !(MIN_GATEWAYS..=MAX_GATEWAYS).contains(&gateways) {
+        bail!("--gateways: expected {MIN_GATEWAYS} to {MAX_GATEWAYS}");
+    }
+    let block_routes = if matches.opt_present("large") {
+        soak::rollout::MAX_BLOCK_ROUTES
+    } else {
+        value_or(matches, "routes", soak::rollout::BLOCK_ROUTES)?
+    };
+    Ok(Some(RolloutPlan {
+        gateways,
+        block_routes,
+        limited: !matches.opt_present("unlimited"),
+        restarts: matches.opt_present("restarts"),
+    }))
+}
+
+/// Numbers of gateways in a rollout: a quorum with disks, and as many processes as a machine
+/// runs.
+const MIN_GATEWAYS: usize = 3;
+const MAX_GATEWAYS: usize = 100;
+
 const COMMANDS: &[Command] = &[
     Command {
         name: "demo",
@@ -70,6 +97,25 @@
             options.optopt("", "jobs", "concurrent runs (1)", "N");
             options.optopt("", "seconds", "length of a run in seconds (15)", "N");
             options.optopt("", "callers", "concurrent callers in a run (12)", "N");
+            options.optopt(
+                "",
+                "gateways",
+                "roll out large configurations to so many gateways with limited links",
+                "N",
+            );
+            options.optopt(
+                "",
+                "routes",
+                "routes that a large configuration adds (1964)",
+                "N",
+            );
+            options.optflag("", "large", "add as many routes as fit in 4 MiB");
+            options.optflag("", "unlimited", "don't limit links and processors");
+            options.optflag(
+                "",
+                "restarts",
+                "kill gateways and cut links between the changes",
+            );
             options.optopt(
                 "",
                 "daemon",
@@ -95,6 +141,7 @@
                     None => std::env::current_exe()?.with_file_name("mulberryd"),
                 },
                 folder: matches.opt_str("keep").unwrap_or("soak".to_owned()).into(),
+                rollout: rollout_plan(matches)?,
             };
             soak_tool::run(&plan)
         },
--- a/crates/mulberryctl/src/soak_tool.rs
+++ b/crates/mulberryctl/src/soak_tool.rs
@@ -12,6 +12,10 @@
 use eyre::Result;
 use eyre::bail;
 use soak::RunSettings;
+use soak::SoakError;
+use soak::rollout;
+use soak::rollout::RolloutSettings;
+use soak::timeline;
 
 /// The seeds, sizes and files of a series of soak runs.
 #[derive(Clone, Debug)]
@@ -30,6 +34,53 @@
     pub daemon: PathBuf,
     /// Folder for the files of failed runs.
     pub folder: PathBuf,
+    /// The rollout of large configurations, instead of the run with faults.
+    pub rollout: Option<RolloutPlan>,
+}
+
+/// Sizes of a rollout.
+#[derive(Clone, Copy, Debug)]
+pub struct RolloutPlan {
+    /// Number of gateways.
+    pub gateways: usize,
+    /// Routes that a large configuration adds.
+    pub block_routes: usize,
+    /// Whether links and processors are limited.
+    pub limited: bool,
+    /// Whether processes are killed and restarted, and links cut, between the changes.
+    pub restarts: bool,
+}
+
+/// The JSON line of a run, and whether it broke no rule.
+type Outcome = Result<(serde_json::Value, bool), SoakError>;
+
+fn run_faults(plan: &SoakPlan, seed: u64) -> Outcome {
+    let report = soak::run(&RunSettings {
+        seed,
+        duration: Duration::from_secs(plan.seconds),
+        callers: plan.callers,
+        daemon_path: plan.daemon.clone(),
+        folder: soak::run::run_folder(&plan.folder, seed),
+    })?;
+    Ok((serde_json::json!(report), report.breaches.is_empty()))
+}
+
+fn run_rollout(plan: &SoakPlan, seed: u64, sizes: RolloutPlan) -> Outcome {
+    let report = rollout::run(&RolloutSettings {
+        seed,
+        duration: Duration::from_secs(plan.seconds),
+        callers: plan.callers,
+        daemon_path: plan.daemon.clone(),
+        folder: soak::run::run_folder(&plan.folder, seed),
+        gateways: if sizes.limited {
+            rollout::site_gateways(sizes.gateways)
+        } else {
+            rollout::unlimited_gateways(sizes.gateways)
+        },
+        block_routes: sizes.block_routes,
+        actions: timeline::generate(seed, plan.seconds * 1_000, sizes.gateways, sizes.restarts),
+    })?;
+    Ok((serde_json::json!(report), report.breaches.is_empty()))
 }
 
 /// Runs all seeds and prints a line for each.
@@ -53,19 +104,16 @@
                         return;
                     }
                     let seed = plan.first_seed + run;
-                    let setup = RunSettings {
-                        seed,
-                        duration: Duration::from_secs(plan.seconds),
-                        callers: plan.callers,
-                        daemon_path: plan.daemon.clone(),
-                        folder: soak::run::run_folder(&plan.folder, seed),
+                    let outcome = match plan.rollout {
+                        Some(sizes) => run_rollout(plan, seed, sizes),
+                        None => run_faults(plan, seed),
                     };
-                    match soak::run(&setup) {
-                        Ok(report) => {
-                            if !report.breaches.is_empty() {
+                    match outcome {
+                        Ok((report, sound)) => {
+                            if !sound {
                                 record_failure(seed);
                             }
-                            println!("{}", serde_json::json!(report));
+                            println!("{report}");
                         }
                         Err(error) => {
                             record_failure(seed);
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -86,12 +86,9 @@
             let id = format!("{:x}-{}-{count}", self.seed, self.number);
             let route = ROUTES[rng.usize(..ROUTES.len())];
             let team = TEAMS[usize::from(rng.u8(..8) == 0)].0;
-            let connection = idle_connection.take().or_else(|| {
-                let entry = self.addresses[rng.usize(..self.addresses.len())];
-                let stream = TcpStream::connect_timeout(&entry.into(), CONNECT_TIMEOUT).ok()?;
-                stream.set_read_timeout(Some(RESPONSE_TIMEOUT)).ok()?;
-                Some(Connection::new(stream))
-            });
+            let connection = idle_connection
+                .take()
+                .or_else(|| connect(self.addresses[rng.usize(..self.addresses.len())]));
             if let Some(mut connection) = connection {
                 let (outcome, reusable) =
                     send_request(&mut connection, &id, &route, team, &self.oracle);
@@ -103,6 +100,40 @@
     }
 }
 
+/// Connects to an entry.
+#[must_use]
+pub fn connect(entry: SocketAddrV4) -> Option<Connection> {
+    let stream = TcpStream::connect_timeout(&entry.into(), CONNECT_TIMEOUT).ok()?;
+    stream.set_read_timeout(Some(RESPONSE_TIMEOUT)).ok()?;
+    Some(Connection::new(stream))
+}
+
+/// Sends a request on the route `name`, which idempotent requests without tokens use;
+/// returns the status, or `None` if no complete response arrives, and whether the
+/// connection can be reused.
+pub fn request_route(connection: &mut Connection, id: &str, name: &str) -> (Option<u16>, bool) {
+    let mut out = Vec::new();
+    let request = CallerRequest {
+        id,
+        team: TEAMS[0].0,
+        target: &format!("/{name}/x"),
+        host: ROUTE_HOST,
+        timeout_ms: 2_500,
+        tokens: (0, 0),
+    };
+    test_support::write_caller_request(&mut out, &request, id.as_bytes());
+    if connection.stream.write_all(&out).is_err() {
+        return (None, false);
+    }
+    match connection.read_response() {
+        Ok((head, _)) => {
+            let reusable = !head.connection_close && !connection.has_unread_bytes();
+            (Some(head.status), reusable)
+        }
+        Err(_) => (None, false),
+    }
+}
+
 /// Sends one request; returns its outcome and whether the connection can be reused.
 fn send_request(
     connection: &mut Connection,
@@ -158,6 +189,7 @@
         402 => RequestOutcome::Exhausted,
         status if test_support::is_not_executed(status) => RequestOutcome::Refused,
         502 | 504 => RequestOutcome::Failed,
+        status @ (401 | 403 | 404) => RequestOutcome::Denied(status),
         _ => RequestOutcome::WrongAnswer("unexpected status"),
     };
     (outcome, reusable)
@@ -171,9 +203,22 @@
     method: &str,
     path: &str,
     body: &[u8],
+) -> Option<(u16, Vec<u8>)> {
+    control_request_within(to, method, path, body, CONTROL_TIMEOUT)
+}
+
+/// Sends a request like [`control_request`], with another timeout for the response.
+#[must_use]
+pub fn control_request_within(
+    to: SocketAddrV4,
+    method: &str,
+    path: &str,
+    body: &[u8],
+    timeout: Duration,
 ) -> Option<(u16, Vec<u8>)> {
     let stream = TcpStream::connect_timeout(&to.into(), CONNECT_TIMEOUT).ok()?;
-    stream.set_read_timeout(Some(CONTROL_TIMEOUT)).ok()?;
+    stream.set_read_timeout(Some(timeout)).ok()?;
+    stream.set_write_timeout(Some(timeout)).ok()?;
     let mut connection = Connection::new(stream);
     let mut out = Vec::new();
     HeadWriter::request(&mut out, method, path)
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -117,6 +117,11 @@
                     observations.cut_requests.push(id.to_owned());
                 }
             }
+            RequestOutcome::Denied(status) => {
+                observations.add_breach(format!(
+                    "denied: {id}: status {status} though all configurations allow it"
+                ));
+            }
             RequestOutcome::WrongAnswer(text) => {
                 observations.add_breach(format!("mixed: {id}: {text}"));
             }
@@ -190,6 +195,8 @@
     Failed,
     /// The connection failed before the answer was complete.
     Cut,
+    /// The status claims that the configuration doesn't allow the request.
+    Denied(u16),
     /// The response is wrong; the text describes how.
     WrongAnswer(&'static str),
 }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -55,6 +55,18 @@
     RequestsOnly,
 }
 
+/// How the relay treats the datagrams of a process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum PeerLinkMode {
+    /// Forwards them.
+    #[default]
+    Open,
+    /// Loses them in both directions.
+    Cut,
+    /// Loses what the process sends.
+    Silent,
+}
+
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -10,6 +10,10 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 
 use platform::test_support;
 use platform::test_support::NodeConfig;
@@ -31,7 +35,45 @@
     domain: &'static str,
     peer_port: u16,
     has_disk: bool,
+    advertised: Option<SocketAddrV4>,
+    running: Arc<Mutex<Running>>,
+}
+
+/// The child of a [`Process`], as far as it hasn't been reaped.
+#[derive(Default)]
+pub struct Running {
     child: Option<Child>,
+    suspended: bool,
+    throttled: bool,
+}
+
+impl Running {
+    /// Returns the process's identifier.
+    #[must_use]
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
+    /// Stops the process, or lets it continue unless a fault suspends it.
+    pub fn set_throttled(&mut self, throttled: bool) {
+        if self.throttled != throttled {
+            self.throttled = throttled;
+            if !self.suspended {
+                self.signal(if throttled {
+                    Signal::STOP
+                } else {
+                    Signal::CONT
+                });
+            }
+        }
+    }
+
+    fn signal(&self, signal: Signal) {
+        if let Some(child) = &self.child {
+            // Fails if the process has already exited.
+            let _ = kill_process(Pid::from_child(child), signal);
+        }
+    }
 }
 
 impl Process {
@@ -49,10 +91,38 @@
             domain: DOMAINS[usize::from(index) % DOMAINS.len()],
             peer_port: port + 3,
             has_disk,
-            child: None,
+            advertised: None,
+            running: Arc::default(),
         }
     }
 
+    /// Returns the address that the process binds for its peers.
+    #[must_use]
+    pub fn peer_address(&self) -> SocketAddrV4 {
+        SocketAddrV4::new(*self.caller_address.ip(), self.peer_port)
+    }
+
+    /// Sets the address that peers use, for later starts.
+    pub fn advertise(&mut self, address: SocketAddrV4) {
+        self.advertised = Some(address);
+    }
+
+    /// Returns the child, shared with the process's throttle.
+    #[must_use]
+    pub fn running(&self) -> Arc<Mutex<Running>> {
+        Arc::clone(&self.running)
+    }
+
+    /// Returns the path of the log file.
+    #[must_use]
+    pub fn log_path(&self) -> PathBuf {
+        self.folder.join("log")
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Running> {
+        self.running.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Starts the program `daemon_path` and appends its output to the log file.
     ///
     /// # Errors
@@ -82,37 +152,66 @@
         let log = File::options()
             .create(true)
             .append(true)
-            .open(self.folder.join("log"))?;
-        let child = Command::new(daemon_path)
+            .open(self.log_path())?;
+        let mut command = Command::new(daemon_path);
+        if let Some(address) = self.advertised {
+            command.arg("--advertise").arg(address.to_string());
+        }
+        let child = command
             .arg("--gateway")
             .env(test_support::SETTINGS_ENV_VAR, &file)
             .stdin(Stdio::null())
             .stderr(log.try_clone()?)
             .stdout(log)
             .spawn()?;
-        self.child = Some(child);
+        *self.lock() = Running {
+            child: Some(child),
+            ..Running::default()
+        };
         Ok(())
     }
 
-    /// Sends a signal to the process, if it was started.
+    /// Sends a signal to the process, if it was started. A throttled process that is
+    /// resumed continues with its next share.
     pub fn signal(&self, signal: Signal) {
-        if let Some(child) = &self.child {
-            // Fails if the process has already exited.
-            let _ = kill_process(Pid::from_child(child), signal);
+        let mut running = self.lock();
+        match signal {
+            Signal::STOP => running.suspended = true,
+            Signal::CONT => {
+                running.suspended = false;
+                if running.throttled {
+                    return;
+                }
+            }
+            _ => {}
         }
+        running.signal(signal);
     }
 
     /// Returns whether the process has exited or was never started.
     pub fn has_exited(&mut self) -> bool {
-        match &mut self.child {
+        let mut running = self.lock();
+        let exited = match &mut running.child {
             Some(child) => child.try_wait().is_ok_and(|status| status.is_some()),
-            None => true,
+            None => return true,
+        };
+        if exited {
+            // The identifier may be used again.
+            running.child = None;
         }
+        exited
+    }
+
+    /// Returns whether the process has exited without [`Self::kill`]; only the first call
+    /// after the exit returns true.
+    pub fn has_crashed(&mut self) -> bool {
+        let was_running = self.lock().child.is_some();
+        was_running && self.has_exited()
     }
 
     /// Kills the process and waits for its exit.
     pub fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
+        if let Some(mut child) = self.lock().child.take() {
             // The process may have exited already.
             let _ = child.kill();
             let _ = child.wait();
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -3,8 +3,6 @@
 use std::fs;
 use std::io;
 use std::net::SocketAddrV4;
-use std::net::TcpListener;
-use std::net::UdpSocket;
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -13,13 +11,8 @@
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use fastrand::Rng;
-use platform::test_support;
-use routing::directory::EngineAnnouncement;
-use routing::directory::Phase;
 use rustix::process::Signal;
 use serde::Serialize;
 use thiserror::Error;
@@ -40,9 +33,7 @@
 use crate::plan::TimedFault;
 use crate::process::Process;
 use crate::proxy::Proxy;
-
-/// Interval between two announcements of an engine.
-const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(400);
+use crate::setup;
 
 /// Interval at which the run checks for due faults and recoveries.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -153,24 +144,10 @@
     })
 }
 
-fn millis(span: Duration) -> u64 {
+pub(crate) fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// Returns the first of four ports that are free on loopback.
-fn find_free_ports() -> u16 {
-    let free = |port: u16| {
-        let any = std::net::Ipv4Addr::UNSPECIFIED;
-        TcpListener::bind((any, port)).is_ok() && UdpSocket::bind((any, port)).is_ok()
-    };
-    loop {
-        let first = fastrand::u16(20_000..60_000);
-        if (first..first + 4).all(free) {
-            return first;
-        }
-    }
-}
-
 impl Cluster {
     fn start(settings: &RunSettings) -> Result<Self, SoakError> {
         let oracle = Arc::new(Oracle::default());
@@ -178,7 +155,7 @@
             oracle.set_total(team, total);
         }
         let finished = Arc::new(AtomicBool::new(false));
-        let port = find_free_ports();
+        let port = setup::find_free_ports(4);
         let indices =
             0..u8::try_from(DISK_PROCESS_COUNT + DISKLESS_PROCESS_COUNT).unwrap_or(u8::MAX);
         let processes: Vec<Process> = indices
@@ -200,7 +177,7 @@
             let faulty = !plan::is_planned_only(settings.seed);
             let engine = FakeEngine::spawn(id, &route, faulty, &oracle)?;
             let proxy = Proxy::spawn(engine.address)?;
-            engines.push(announcement(&engine.id, route.name, proxy.address));
+            engines.push(setup::announcement(&engine.id, route.name, proxy.address));
             proxies.push(proxy);
         }
         let count = processes.len();
@@ -217,7 +194,7 @@
         for index in 0..count {
             cluster.start_process(index, true)?;
         }
-        cluster.spawn_announcer(engines);
+        setup::spawn_announcer(engines, cluster.control_addresses(), &cluster.finished);
         if !cluster.submit_config(false) {
             return Err(SoakError::Unconfigured(settings.folder.clone()));
         }
@@ -240,30 +217,6 @@
             .collect()
     }
 
-    /// Announces the engines periodically, each round starting at another process,
-    /// until the run is finished.
-    fn spawn_announcer(&self, mut engines: Vec<EngineAnnouncement>) {
-        let (addresses, finished) = (self.control_addresses(), Arc::clone(&self.finished));
-        thread::spawn(move || {
-            let mut round = 0;
-            while !finished.load(Ordering::Relaxed) {
-                for announcement in &mut engines {
-                    announcement.sequence += 1;
-                    let (path, body) = test_support::heartbeat(announcement);
-                    for attempt in 0..addresses.len() {
-                        let to = addresses[(round + attempt) % addresses.len()];
-                        let answer = caller::control_request(to, "POST", &path, body.as_bytes());
-                        if matches!(answer, Some((200, _))) {
-                            break;
-                        }
-                    }
-                }
-                round += 1;
-                thread::sleep(ANNOUNCEMENT_INTERVAL);
-            }
-        });
-    }
-
     /// Submits the next configuration; returns whether it was accepted. If `resubmit` is
     /// set, also submits the previous one again.
     fn submit_config(&mut self, resubmit: bool) -> bool {
@@ -436,21 +389,6 @@
     }
 }
 
-fn announcement(id: &str, service: &str, address: SocketAddrV4) -> EngineAnnouncement {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-    EngineAnnouncement {
-        id: id.to_owned(),
-        // Within one run, any value works if the clock is before 1970.
-        started_ms: since_epoch.map_or(1, millis),
-        sequence: 0,
-        service: service.to_owned(),
-        address,
-        domain: "a".to_owned(),
-        slots: 64,
-        phase: Phase::Ready,
-    }
-}
-
 /// Returns the directory of the run with `seed` below `base`.
 #[must_use]
 pub fn run_folder(base: &Path, seed: u64) -> PathBuf {
--- /dev/null
+++ b/crates/soak/src/setup.rs
@@ -0,0 +1,83 @@
+//! Free ports, and the announcements of fake engines.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::net::TcpListener;
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use platform::test_support;
+use routing::directory::EngineAnnouncement;
+use routing::directory::Phase;
+
+use crate::caller;
+use crate::run::millis;
+
+/// Interval between two announcements of an engine.
+const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Returns the first of `count` consecutive ports that are free on loopback.
+#[must_use]
+pub fn find_free_ports(count: u16) -> u16 {
+    let free = |port: u16| {
+        let any = Ipv4Addr::UNSPECIFIED;
+        TcpListener::bind((any, port)).is_ok() && UdpSocket::bind((any, port)).is_ok()
+    };
+    loop {
+        let first = fastrand::u16(20_000..60_000);
+        if (first..first + count).all(free) {
+            return first;
+        }
+    }
+}
+
+/// Announces the engines periodically, each round starting at another process, until
+/// `finished` is set.
+pub fn spawn_announcer(
+    mut engines: Vec<EngineAnnouncement>,
+    addresses: Vec<SocketAddrV4>,
+    finished: &Arc<AtomicBool>,
+) {
+    let finished = Arc::clone(finished);
+    thread::spawn(move || {
+        let mut round = 0;
+        while !finished.load(Ordering::Relaxed) {
+            for announcement in &mut engines {
+                announcement.sequence += 1;
+                let (path, body) = test_support::heartbeat(announcement);
+                for attempt in 0..addresses.len() {
+                    let to = addresses[(round + attempt) % addresses.len()];
+                    let answer = caller::control_request(to, "POST", &path, body.as_bytes());
+                    if matches!(answer, Some((200, _))) {
+                        break;
+                    }
+                }
+            }
+            round += 1;
+            thread::sleep(ANNOUNCEMENT_INTERVAL);
+        }
+    });
+}
+
+/// Returns the first announcement of an engine.
+#[must_use]
+pub fn announcement(id: &str, service: &str, address: SocketAddrV4) -> EngineAnnouncement {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    EngineAnnouncement {
+        id: id.to_owned(),
+        // Within one run, any value works if the clock is before 1970.
+        started_ms: since_epoch.map_or(1, millis),
+        sequence: 0,
+        service: service.to_owned(),
+        address,
+        domain: "a".to_owned(),
+        slots: 64,
+        phase: Phase::Ready,
+    }
+}
