soak: rollouts read the configuration back, and links fall silent or slow

A rollout checked only which version handles requests. Restarts alternate with a link that is cut, silent, or has a tenth of its rate and 20 ms more.

--- a/crates/soak/src/link.rs
+++ b/crates/soak/src/link.rs
@@ -39,6 +39,12 @@
 /// Number of datagrams read from a socket before the next one has its turn.
 const MAX_BATCH: usize = 64;
 
+/// Divisor of the rate of a slow link.
+const SLOW_DIVISOR: u64 = 10;
+
+/// Delay that a slow link adds.
+const SLOW_DELAY: Duration = Duration::from_millis(20);
+
 /// Time after which the threads of a dropped network end.
 const STOP_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -101,6 +107,19 @@
     counts: LinkCounts,
 }
 
+impl Link {
+    fn current_limits(&self) -> LinkLimits {
+        match self.mode {
+            PeerLinkMode::Slow => LinkLimits {
+                rate: self.limits.rate / SLOW_DIVISOR,
+                delay: self.limits.delay + SLOW_DELAY,
+                ..self.limits
+            },
+            PeerLinkMode::Open | PeerLinkMode::Cut | PeerLinkMode::Silent => self.limits,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Direction {
     Out,
@@ -180,11 +199,6 @@
         self.shared.state().links[process].mode = mode;
     }
 
-    /// Sets the limits of a process's link; what is queued keeps its time.
-    pub fn set_limits(&self, process: usize, limits: LinkLimits) {
-        self.shared.state().links[process].limits = limits;
-    }
-
     /// Returns the traffic of each link so far.
     #[must_use]
     pub fn counts(&self) -> Vec<LinkCounts> {
@@ -282,11 +296,11 @@
             return Some(now);
         };
         let length = length as u64;
-        let limits = link.limits;
+        let limits = link.current_limits();
         let free_at = &mut link.free_at[direction as usize];
         let queued = bytes_in(free_at.saturating_duration_since(now), limits.rate);
         let lost = match link.mode {
-            PeerLinkMode::Open => false,
+            PeerLinkMode::Open | PeerLinkMode::Slow => false,
             PeerLinkMode::Cut => true,
             PeerLinkMode::Silent => direction == Direction::Out,
         };
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -65,6 +65,8 @@
     Cut,
     /// Loses what the process sends.
     Silent,
+    /// Forwards them at a tenth of the link's rate, and later.
+    Slow,
 }
 
 impl fmt::Display for Fault {
--- a/crates/soak/src/rollout.rs
+++ b/crates/soak/src/rollout.rs
@@ -78,6 +78,15 @@
 /// Range of the pause between two requests to the same process, in milliseconds.
 const REQUEST_PAUSE_MS: std::ops::Range<u64> = 60..140;
 
+/// Number of requests to a process for each read of its configuration.
+const REQUESTS_PER_READ: u64 = 60;
+
+/// Timeout of a read of the configuration.
+const READ_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Time in which all processes must return the configuration at the end.
+const FINAL_READ_TIMEOUT: Duration = Duration::from_secs(20);
+
 /// Interval at which due actions are started.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -340,6 +349,44 @@
         }
     }
 
+    /// Reads the configuration at a process once; returns whether it returned one.
+    fn read_config(&self, process: usize) -> bool {
+        let sent_ms = self.now_ms();
+        let path = test_support::CONFIG_FETCH_PATH;
+        let to = self.control_at[process];
+        let answer = caller::control_request_within(to, "GET", path, b"", READ_TIMEOUT);
+        let Some((200, body)) = answer else {
+            return false;
+        };
+        let breach = match test_support::config_version(&body) {
+            Some(version) => lock(&self.history).judge_read(process, version, sent_ms),
+            None => Some(Breach {
+                case: format!("config: a read at process {process} cannot be parsed"),
+                details: format!("read at {sent_ms} ms"),
+            }),
+        };
+        if let Some(breach) = breach {
+            self.record(breach);
+        }
+        true
+    }
+
+    /// Reads the configuration from each process, at the end.
+    fn check_final_state(&self) {
+        let deadline = Instant::now() + FINAL_READ_TIMEOUT;
+        for process in 0..self.control_at.len() {
+            while !self.read_config(process) {
+                if Instant::now() > deadline {
+                    return self.record(Breach {
+                        case: "config: no configuration is read at the end".to_owned(),
+                        details: format!("at process {process}"),
+                    });
+                }
+                thread::sleep(BACKOFF.0);
+            }
+        }
+    }
+
     /// Sends requests on routes that were added or removed to one process.
     fn request_routes(&self, process: usize) {
         let seed = self.settings.seed ^ ((process as u64 + 1) << 40);
@@ -357,6 +404,9 @@
                 continue;
             };
             count += 1;
+            if count.is_multiple_of(REQUESTS_PER_READ) {
+                self.read_config(process);
+            }
             let id = format!("{:x}-route-{process}-{count}", self.settings.seed);
             let sent_ms = self.now_ms();
             let (status, reusable) = caller::request_route(&mut connection, &id, &key.to_string());
@@ -519,6 +569,7 @@
         }
         // Their time bounds end later.
         join(submissions, &self.oracle);
+        self.shared.check_final_state();
         self.shared.finished.store(true, Ordering::Relaxed);
         self.finished.store(true, Ordering::Relaxed);
         join(threads, &self.oracle);
@@ -564,7 +615,7 @@
             Action::Link(index, mode) => {
                 let apply = match mode {
                     PeerLinkMode::Open => History::rejoin,
-                    PeerLinkMode::Cut | PeerLinkMode::Silent => History::leave,
+                    PeerLinkMode::Cut | PeerLinkMode::Silent | PeerLinkMode::Slow => History::leave,
                 };
                 self.shared.disturb(*index, apply);
                 self.network.set_mode(*index, *mode);
--- a/crates/soak/src/timeline.rs
+++ b/crates/soak/src/timeline.rs
@@ -57,7 +57,7 @@
 /// Returns the changes of `seed` within `duration_ms`: in each series a large
 /// configuration, a small change and a storm of changes. If `restarts` is set, processes
 /// are killed after each storm and changes are submitted while they are away: in turn one
-/// of them, all, and one whose link is cut.
+/// of them, all, and none, but one link is cut, silent or slow.
 #[must_use]
 pub fn generate(seed: u64, duration_ms: u64, processes: usize, restarts: bool) -> Vec<TimedAction> {
     let mut rng = Rng::with_seed(seed);
@@ -90,7 +90,7 @@
     let outage_ms = rng.u64(600..1_500);
     let back = at + outage_ms;
     let change = (at + 300, Action::Change);
-    match series % 3 {
+    match series % 5 {
         0 => {
             let kill = (at, Action::Kill(vec![one]));
             vec![kill, change, (back, Action::Start(vec![one]))]
@@ -107,10 +107,14 @@
                 (back + 1_500 + rng.u64(..1_500), Action::Start(rest)),
             ]
         }
-        _ => vec![
-            (at, Action::Link(one, PeerLinkMode::Cut)),
-            change,
-            (back, Action::Link(one, PeerLinkMode::Open)),
-        ],
+        kind => {
+            let mode = match kind {
+                2 => PeerLinkMode::Cut,
+                3 => PeerLinkMode::Silent,
+                _ => PeerLinkMode::Slow,
+            };
+            let opened = (back, Action::Link(one, PeerLinkMode::Open));
+            vec![(at, Action::Link(one, mode)), change, opened]
+        }
     }
 }
--- a/crates/soak/src/versions.rs
+++ b/crates/soak/src/versions.rs
@@ -288,6 +288,17 @@
         None
     }
 
+    /// Returns a breach if a read of the configuration at any process, sent at `sent_ms`,
+    /// returned a version older than one acknowledged [`APPLY_MS`] before.
+    #[must_use]
+    pub fn judge_read(&self, process: usize, version: u64, sent_ms: u64) -> Option<Breach> {
+        let due = self.newest_acknowledged(|acked| acked + APPLY_MS < sent_ms);
+        (version < due).then(|| Breach {
+            case: format!("config: an older version than {due} is read at process {process}"),
+            details: format!("version {version}, read at {sent_ms} ms"),
+        })
+    }
+
     fn newest_acknowledged(&self, matches: impl Fn(u64) -> bool) -> u64 {
         let mut newest_first = self.versions.iter().rev();
         let found = newest_first.find(|(_, version)| version.acked_ms.is_some_and(&matches));
--- a/crates/soak/tests/versions.rs
+++ b/crates/soak/tests/versions.rs
@@ -105,6 +105,16 @@
     assert!(rule(&history, OLD, Handling::Rejected(401), 5).is_some());
 }
 
+#[test]
+fn a_read_of_an_older_version_too_late_is_a_breach() {
+    let mut history = history();
+    history.leave(0, true, 12_000);
+    let due = 10_005 + APPLY_MS;
+    assert_eq!(history.judge_read(0, 3, due), None);
+    assert_eq!(history.judge_read(0, 4, due + 1), None);
+    assert!(history.judge_read(0, 3, due + 1).is_some());
+}
+
 #[test]
 fn a_block_is_replaced_as_a_whole() {
     let mut history = History::default();
