--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,5 +1,6 @@
 //! The gateway role: forwards requests unchanged.
 //!
+//! - [`advertise`]: checks the address that peers use.
 //! - [`budget`]: draws, lends and returns grants of teams' tokens.
 //! - [`config_sync`]: fetches newer configurations from peers and confirms the latest one.
 //! - [`conn`]: a TCP connection with its receive buffer.
@@ -21,6 +22,7 @@
 //! - [`witness`]: records entries' high-water marks at witnesses.
 //! - [`witness_log`]: the journal of high-water marks on a witness's disk.
 
+pub mod advertise;
 pub mod budget;
 pub mod config_sync;
 pub mod conn;
@@ -43,3 +45,4 @@
 pub mod witness_log;
 
 pub use crate::process::Gateway;
+pub use crate::process::GatewayOptions;
