Deny a request only by the latest configuration

Callers were told 404 for routes that had been added, and 401 for new keys, by processes that had just started or had not yet received a version that others had in force. Cause: a process denied by whatever configuration it held; 1.5 s after its start a timer made the unconfirmed one count as confirmed, and the process stopped asking the group. The class: a timer turns "not known" into "known", and a claim about the newest state is made from a possibly old one.

A process may serve by a configuration that isn't confirmed, if it can't reach the group; what that configuration lacks is answered 503 (cause=StaleConfig), as it is while a newer version is known to exist. A process that has known of a newer version for half of config_apply_ms without having it in force isn't ready and handles no request by the old one.

--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -170,13 +170,22 @@
 }
 
 async fn respond(shared: &Arc<ProcessContext>, request: &Request, caller: &Conn) -> RequestOutcome {
-    let site = shared.state().site_index.clone();
+    let (site, overdue) = {
+        let state = shared.state();
+        let overdue = state.is_config_overdue(&shared.settings, shared.now());
+        (state.site_index.clone(), overdue)
+    };
     let outcome = match &site {
         None => Err(RejectionCause::Unconfigured),
+        Some(_) if overdue => Err(RejectionCause::StaleConfig),
         Some(site) => admit(shared, site, request, caller).await,
     };
     let cause = match outcome {
         Ok(outcome) => return outcome,
+        // Only the latest configuration shows that a route or a key doesn't exist.
+        Err(cause) if cause.is_denial() && !shared.state().held_config.is_current() => {
+            RejectionCause::StaleConfig
+        }
         Err(cause) => cause,
     };
     let now = shared.now();
--- a/crates/gateway/src/forwarding/rejection.rs
+++ b/crates/gateway/src/forwarding/rejection.rs
@@ -8,6 +8,9 @@
 pub enum RejectionCause {
     /// This process has no configuration yet.
     Unconfigured,
+    /// The configuration here lacks what the request needs, or is overdue for a newer one,
+    /// and isn't known to be the latest.
+    StaleConfig,
     /// No route matches the request.
     NoRoute,
     /// The API key is missing or belongs to no team.
@@ -46,6 +49,7 @@
             Self::InvalidKey => 401,
             Self::BudgetExhausted => 402,
             Self::Unconfigured
+            | Self::StaleConfig
             | Self::GrantUnavailable(_)
             | Self::NoWitness
             | Self::BlockedSegment(_)
@@ -59,12 +63,20 @@
         }
     }
 
+    /// Returns whether the request is rejected for what the configuration lacks.
+    pub fn is_denial(self) -> bool {
+        matches!(self, Self::NoRoute | Self::InvalidKey)
+    }
+
     /// Returns the response body: the reason, for the caller's log.
     pub fn reason(self) -> &'static str {
         match self {
             Self::Unconfigured => {
                 "no configuration is in force here yet; the request did not run\n"
             }
+            Self::StaleConfig => {
+                "the latest configuration isn't in force here yet; the request did not run\n"
+            }
             Self::NoRoute => "no such route\n",
             Self::InvalidKey => "unknown key\n",
             Self::BudgetExhausted => "the team's budget does not cover the request\n",
@@ -92,7 +104,7 @@
         match self {
             Self::Overloaded(ms) => Some(ms),
             Self::Unconfigured | Self::NoEngine | Self::GrantUnavailable(_) => Some(400.0),
-            Self::NotRun => Some(300.0),
+            Self::NotRun | Self::StaleConfig => Some(300.0),
             // Another process can accept the request immediately.
             Self::Stopping | Self::NoWitness => Some(0.0),
             _ => None,
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -65,8 +65,9 @@
 /// Time without a message after which a joining replica may replace another one.
 pub const REPLACEMENT_TIMEOUT: Span = Span::millis(6_000);
 
-/// Time after the start in which a process doesn't serve with a configuration that the
-/// group hasn't confirmed.
+/// Time after the start in which a process isn't ready with a configuration that the group
+/// hasn't confirmed. After it, a process that can't reach the group serves what its
+/// configuration allows, but denies nothing.
 const CONFIRMATION_TIMEOUT: Span = Span::millis(1_500);
 
 /// Time after the start for which an arbiter without a disk waits for processes with one
@@ -479,7 +480,8 @@
         log::warn!("mesh: event=forgot peer={address}");
     }
     let confirmed = state.held_config.is_confirmed();
-    let serves = confirmed || Span(now.0) > CONFIRMATION_TIMEOUT;
+    let overdue = state.is_config_overdue(&shared.settings, now);
+    let serves = (confirmed || Span(now.0) > CONFIRMATION_TIMEOUT) && !overdue;
     if serves && !confirmed && state.site_index.is_some() && !state.unconfirmed_logged {
         log::warn!(
             "config: event=unconfirmed outcome=serving reason=\"the group has not confirmed the configuration\""
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -58,6 +58,10 @@
 /// Time without a message after which a peer no longer counts as present.
 pub const PEER_TIMEOUT: Span = Span::millis(3_000);
 
+/// Divisor of the bound for configurations that yields how long the present one is used after
+/// the news of a newer one; the news itself and requests under way need the rest.
+const OVERDUE_DIVISOR: u64 = 2;
+
 /// Time reserved between the end of all work and the end of the grace period.
 const STOP_MARGIN: Span = Span::millis(500);
 
@@ -302,6 +306,14 @@
         (engine_key(announcement) == key).then_some(announcement)
     }
 
+    /// Returns whether a newer configuration has been known for so long that requests can't be
+    /// handled by the present one any more.
+    #[must_use]
+    pub fn is_config_overdue(&self, settings: &NodeSettings, now: Time) -> bool {
+        let apply = Span::millis(settings.bounds.config_apply_ms);
+        self.held_config.time_behind(now) > Span(apply.0 / OVERDUE_DIVISOR)
+    }
+
     /// Sets the leader's address from the leader that the local replica reports; `None` if
     /// its process isn't known.
     pub fn find_leader(&mut self, own: &Member) {
