soak: times until a version is in force, for restarted processes too

A rollout with restarts of all processes reported no such times. A version now counts at each process that didn't start between its acknowledgement and the line event=in_force. Processes get three seeds, as on the platform.

--- a/crates/soak/src/logs.rs
+++ b/crates/soak/src/logs.rs
@@ -9,6 +9,8 @@
 /// A line of a log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Line {
+    /// The process starts.
+    Start,
     /// A version is in force from now on.
     InForce(u64),
     /// A replica knows another leader, or none.
@@ -35,7 +37,9 @@
 pub fn parse(text: &str) -> impl Iterator<Item = (u64, Line)> + '_ {
     text.lines().filter_map(|line| {
         let (time, rest) = line.split_once(' ')?;
-        let found = if rest.contains("config: event=in_force ") {
+        let found = if rest.contains("gateway: event=start ") {
+            Line::Start
+        } else if rest.contains("config: event=in_force ") {
             Line::InForce(field(rest, "version=")?.parse().ok()?)
         } else if rest.contains("group: event=leader ") {
             let known = field(rest, "leader=")? != "None";
--- a/crates/soak/src/rollout.rs
+++ b/crates/soak/src/rollout.rs
@@ -61,6 +61,9 @@
 /// Number of routes with which a configuration has 4 MiB, the limit of the platform.
 pub const MAX_BLOCK_ROUTES: usize = 12_400;
 
+/// Number of seeds that a process is given.
+const SEEDS: usize = 3;
+
 /// Ports of a process: for callers, readiness, control and peers, and the advertised one.
 const PORTS: u16 = 5;
 
@@ -150,7 +153,7 @@
     /// Times from a submission to its acknowledgement.
     pub acks: Times,
     /// Times from an acknowledgement until the version or a newer one is in force at each
-    /// process that was not restarted.
+    /// process that wasn't started meanwhile.
     pub in_force: Times,
     /// Changes of the leader that replicas logged while nothing was disturbed.
     pub leader_changes: u64,
@@ -533,6 +536,7 @@
         let seeds: Vec<SocketAddrV4> = seeds
             .filter(|(_, shape)| shape.has_disk)
             .map(|(&address, _)| address)
+            .take(SEEDS)
             .collect();
         self.processes[index].start(&self.shared.settings.daemon_path, &seeds, first)?;
         self.shared.disturb(index, History::start);
@@ -661,17 +665,18 @@
             artifacts: None,
         };
         let mut delays = Vec::new();
-        for (index, process) in self.processes.iter().enumerate() {
+        for process in &self.processes {
             let text = fs::read_to_string(process.log_path())?;
-            self.read_log(index, &text, &acked, &mut delays, &mut report);
+            self.read_log(&text, &acked, &mut delays, &mut report);
         }
         report.in_force = times(delays);
         Ok(report)
     }
 
+    /// Adds what a process's log says to the report and to the times until a version was in
+    /// force.
     fn read_log(
         &self,
-        index: usize,
         text: &str,
         acked: &[(u64, u64, u64)],
         delays: &mut Vec<u64>,
@@ -681,16 +686,14 @@
         let lines: Vec<_> = logs::parse(text)
             .map(|(time, line)| (logs::elapsed(start, time), line))
             .collect();
-        let restarted = self
-            .shared
-            .settings
-            .actions
-            .iter()
-            .any(|(_, action)| matches!(action, Action::Start(list) if list.contains(&index)));
-        for &(version, _, acked_ms) in acked.iter().filter(|_| !restarted) {
+        for &(version, _, acked_ms) in acked {
             let newer = |line: &logs::Line| matches!(line, logs::Line::InForce(v) if *v >= version);
-            let found = lines.iter().find(|(_, line)| newer(line));
-            if let Some((at, _)) = found {
+            let Some(&(at, _)) = lines.iter().find(|(_, line)| newer(line)) else {
+                continue;
+            };
+            // A process that starts meanwhile fetches the version later.
+            let mut starts = lines.iter().filter(|(_, line)| *line == logs::Line::Start);
+            if !starts.any(|(start, _)| (acked_ms..at).contains(start)) {
                 delays.push(at.saturating_sub(acked_ms));
             }
         }
