group: bound the log in bytes and leave a full or failing disk

What callers saw: after about fifty changes of a large configuration no replica could write again.

All replicas store the same entries and reach the bound together. The driver took the refusal for a failed disk and opened the folder again, with the same size, for ever. Class: a bound in bytes, kept by a count.

Change: - The log knows its bytes. While as many bytes wait to be committed, a leader refuses further commands. - Writes beyond the quota are replaced by a checkpoint, which includes them. A leader whose disk fails transfers its leadership.

--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -43,6 +43,20 @@
     pub payload: Payload,
 }
 
+/// Size in bytes of an entry without its command, and of a change of members.
+const ENTRY_OVERHEAD_BYTES: u64 = 64;
+
+impl Entry {
+    /// Returns the approximate size of the entry in memory and in a journal, in bytes.
+    #[must_use]
+    pub fn size_bytes(&self) -> u64 {
+        match &self.payload {
+            Payload::Data(data) => ENTRY_OVERHEAD_BYTES + data.len() as u64,
+            Payload::Noop | Payload::Members(_) => ENTRY_OVERHEAD_BYTES,
+        }
+    }
+}
+
 /// The replicated state as of one entry.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Snapshot {
@@ -61,13 +75,23 @@
 pub struct Log {
     snapshot: Snapshot,
     entries: Vec<Entry>,
+    entry_bytes: u64,
+}
+
+fn sum_bytes(entries: &[Entry]) -> u64 {
+    entries.iter().map(Entry::size_bytes).sum()
 }
 
 impl Log {
     /// Returns the log of `entries` after `snapshot`.
     #[must_use]
     pub fn new(snapshot: Snapshot, entries: Vec<Entry>) -> Self {
-        Self { snapshot, entries }
+        let entry_bytes = sum_bytes(&entries);
+        Self {
+            snapshot,
+            entries,
+            entry_bytes,
+        }
     }
 
     /// Returns the snapshot that the entries follow.
@@ -82,6 +106,12 @@
         self.entries.len()
     }
 
+    /// Returns the size of the entries in memory, in bytes.
+    #[must_use]
+    pub fn size_bytes(&self) -> u64 {
+        self.entry_bytes
+    }
+
     /// Returns whether no entry is in memory.
     #[must_use]
     pub fn is_empty(&self) -> bool {
@@ -159,11 +189,13 @@
     /// Appends an entry, whose index must follow the last one.
     pub fn push(&mut self, entry: Entry) {
         debug_assert_eq!(entry.position.index, self.last_position().index + 1);
+        self.entry_bytes += entry.size_bytes();
         self.entries.push(entry);
     }
 
     /// Removes the entries from `index` on.
     pub fn truncate(&mut self, index: u64) {
+        self.entry_bytes -= sum_bytes(self.entries_from(index));
         let keep = index.saturating_sub(self.snapshot.position.index + 1);
         self.entries
             .truncate(usize::try_from(keep).unwrap_or(usize::MAX));
@@ -180,6 +212,7 @@
             _ => Vec::new(),
         };
         self.snapshot = snapshot;
+        self.entry_bytes = sum_bytes(&rest);
         self.entries = rest;
     }
 }
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -72,3 +72,22 @@
     /// transfers its leadership before it stops.
     TimeoutNow,
 }
+
+/// Size in bytes of a message without entries.
+const MESSAGE_OVERHEAD_BYTES: u64 = 128;
+
+impl Message {
+    /// Returns the approximate size of the message, in bytes.
+    #[must_use]
+    pub fn size_bytes(&self) -> u64 {
+        let content = match self {
+            Self::AppendEntries { entries, .. } => entries.iter().map(Entry::size_bytes).sum(),
+            Self::InstallSnapshot { snapshot, .. } => snapshot.data.len() as u64,
+            Self::RequestVote { .. }
+            | Self::VoteResponse { .. }
+            | Self::AppendResponse { .. }
+            | Self::TimeoutNow => 0,
+        };
+        MESSAGE_OVERHEAD_BYTES + content
+    }
+}
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -347,8 +347,8 @@
         effects
     }
 
-    /// Transfers leadership to the active voter with the longest matching log, before a
-    /// planned stop.
+    /// Transfers leadership to the voter with the longest matching log, an active one if
+    /// there is one, before a planned stop or after the disk failed.
     pub fn transfer_leadership(&mut self) -> Effects {
         let mut effects = Effects::default();
         if self.role != Role::Leader {
@@ -358,8 +358,8 @@
         let target = self
             .followers
             .iter()
-            .filter(|(id, progress)| members.is_voter(**id) && progress.recently_active)
-            .max_by_key(|(_, progress)| progress.match_index)
+            .filter(|(id, _)| members.is_voter(**id))
+            .max_by_key(|(_, progress)| (progress.recently_active, progress.match_index))
             .map(|(&id, _)| id);
         if let Some(to) = target {
             self.send(to, Message::TimeoutNow, &mut effects);
--- a/crates/daemon/src/keeper/driver.rs
+++ b/crates/daemon/src/keeper/driver.rs
@@ -272,7 +272,7 @@
             if writes.is_empty() && events.is_empty() {
                 self.storage.write_sync_markers()?;
             } else {
-                self.storage.write(&writes, &events)?;
+                self.storage.write(&writes, &events, &self.core.replica)?;
             }
             if !self.core.apply_committed() {
                 break;
--- a/crates/daemon/src/keeper/storage.rs
+++ b/crates/daemon/src/keeper/storage.rs
@@ -98,13 +98,19 @@
         self.folder.identity()
     }
 
-    /// Writes and syncs log writes and share events.
+    /// Writes and syncs log writes and share events; `replica` is in the state after the
+    /// writes.
     ///
     /// # Errors
     ///
     /// Fails if the disk does. After that the keeper must not send responses or messages.
-    pub fn write(&mut self, writes: &[LogWrite], events: &[Event]) -> Result<(), DiskError> {
-        self.log.write(writes)?;
+    pub fn write(
+        &mut self,
+        writes: &[LogWrite],
+        events: &[Event],
+        replica: &Replica,
+    ) -> Result<(), DiskError> {
+        self.log.write(writes, replica)?;
         for event in events {
             let bytes = postcard::to_stdvec(event).map_err(DiskError::Encode)?;
             self.share.append(&bytes)?;
--- a/crates/durable/src/lib.rs
+++ b/crates/durable/src/lib.rs
@@ -2,7 +2,8 @@
 //! recovers its hard state and log from it.
 //!
 //! Each log write is one journal record; a checkpoint holds the hard state and the
-//! whole log.
+//! whole log. Where the journal has no room for writes, a checkpoint that includes them
+//! takes its place.
 
 use std::path::Path;
 
@@ -53,6 +54,14 @@
     pub entries: Vec<Entry>,
 }
 
+/// The content of the log's checkpoint, borrowed from a replica.
+#[derive(Serialize)]
+struct CheckpointView<'a> {
+    hard_state: HardState,
+    snapshot: &'a Snapshot,
+    entries: &'a [Entry],
+}
+
 /// The state recovered from the journal.
 #[derive(Debug)]
 pub struct RecoveredLog {
@@ -68,8 +77,13 @@
 #[derive(Debug)]
 pub struct LogStore {
     journal: Journal,
+    quota_bytes: u64,
 }
 
+/// Part of the quota, as a divisor, that the journal may take in addition while the disk
+/// has no room for a checkpoint.
+const RESERVE_DIVISOR: u64 = 2;
+
 fn replay(recovered: RecoveredJournal, members: Members) -> Result<RecoveredLog, DiskError> {
     let decode_error = |number, source| DiskError::Decode {
         journal: "log",
@@ -116,26 +130,73 @@
         members: Members,
         options: JournalOptions,
     ) -> Result<(Self, RecoveredLog), DiskError> {
+        let quota_bytes = options.quota_bytes;
+        let options = JournalOptions {
+            quota_bytes: quota_bytes.saturating_add(quota_bytes / RESERVE_DIVISOR),
+            ..options
+        };
         let (journal, recovered) = Journal::open(folder, options)?;
         let log = replay(recovered, members)?;
-        Ok((Self { journal }, log))
+        let store = Self {
+            journal,
+            quota_bytes,
+        };
+        Ok((store, log))
+    }
+
+    /// Returns the size of the journal without its checkpoint, in bytes.
+    #[must_use]
+    pub fn journal_bytes(&self) -> u64 {
+        self.journal.size_bytes()
     }
 
-    /// Appends `writes` to the journal and syncs it.
+    /// Makes `writes` durable; `replica` is in the state after them.
+    ///
+    /// The writes are appended to the journal. If they exceed its quota, a checkpoint of
+    /// `replica` replaces the journal; if the disk has no room for that, the writes are
+    /// appended to the journal's reserve.
     ///
     /// # Errors
     ///
     /// Fails where the disk fails; the caller must not send or acknowledge anything that
     /// depends on these writes then.
-    pub fn write(&mut self, writes: &[LogWrite]) -> Result<(), DiskError> {
+    pub fn write(&mut self, writes: &[LogWrite], replica: &Replica) -> Result<(), DiskError> {
+        let mut records = Vec::new();
         for write in writes {
-            let bytes = postcard::to_stdvec(write).map_err(DiskError::Encode)?;
-            self.journal.append(&bytes)?;
+            records.push(postcard::to_stdvec(write).map_err(DiskError::Encode)?);
+        }
+        let new_bytes: usize = records.iter().map(Vec::len).sum();
+        if self.journal.size_bytes() + new_bytes as u64 > self.quota_bytes {
+            match self.checkpoint(replica) {
+                Err(DiskError::Store(StoreError::NoSpace(path))) => {
+                    log::warn!("store: {}: no room for a checkpoint", path.display());
+                }
+                result => return result,
+            }
+        }
+        for record in records {
+            self.journal.append(&record)?;
         }
         self.journal.sync()?;
         Ok(())
     }
 
+    /// Writes the state of `replica` after an earlier write failed: what the disk holds of
+    /// that write is unknown. If the disk has no room for a checkpoint, only the hard state
+    /// is written.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the disk still fails.
+    pub fn rewrite(&mut self, replica: &Replica) -> Result<(), DiskError> {
+        match self.checkpoint(replica) {
+            Err(DiskError::Store(StoreError::NoSpace(_))) => {
+                self.write(&[LogWrite::Save(replica.hard_state())], replica)
+            }
+            result => result,
+        }
+    }
+
     /// Replaces the journal's records by a checkpoint of the log and hard state of
     /// `replica`.
     ///
@@ -144,12 +205,11 @@
     /// Fails where the disk fails.
     pub fn checkpoint(&mut self, replica: &Replica) -> Result<(), DiskError> {
         let log = replica.log();
-        let snapshot = log.snapshot().clone();
-        let entries = log.entries_from(snapshot.position.index + 1).to_vec();
-        let checkpoint = LogCheckpoint {
+        let snapshot = log.snapshot();
+        let checkpoint = CheckpointView {
             hard_state: replica.hard_state(),
             snapshot,
-            entries,
+            entries: log.entries_from(snapshot.position.index + 1),
         };
         let bytes = postcard::to_stdvec(&checkpoint).map_err(DiskError::Encode)?;
         self.journal.checkpoint(&bytes)?;
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -2,17 +2,17 @@
 //! [`Input`]s from a queue and calls [`OutputFn`].
 //!
 //! The thread handles all queued inputs as one batch and makes them durable with one
-//! sync. Responses and messages are sent only after that. If the disk fails, the
-//! replica leaves the group until the folder can be opened again; the process
-//! continues to forward requests.
+//! sync. Responses and messages are sent only after that. If the disk fails, a leader
+//! transfers its leadership, and the replica takes no part in the group until the folder
+//! can be opened and written again; the process continues to forward requests.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::mpsc;
 use std::sync::mpsc::RecvTimeoutError;
+use std::sync::mpsc::TryRecvError;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -38,8 +38,14 @@
 use ledger::quorum::Settlement;
 use store::DataFolder;
 use store::JournalOptions;
+use store::StoreError;
 use thiserror::Error;
 
+use crate::compaction::LogBound;
+use crate::compaction::LogUsage;
+use crate::input_queue;
+use crate::input_queue::InputReceiver;
+use crate::input_queue::InputSender;
 use crate::replicated_state::Command;
 use crate::replicated_state::Outcome;
 use crate::replicated_state::ReplicatedState;
@@ -53,15 +59,21 @@
 /// Maximum number of inputs handled with one sync.
 const MAX_BATCH_INPUTS: usize = 256;
 
-/// Number of log entries after which the log is compacted into a snapshot.
-const MAX_LOG_ENTRIES: usize = 600;
-
 /// Size of a journal segment, in bytes: small disks hold a few of them.
 const SEGMENT_BYTES: u64 = 2 << 20;
 
+/// Divisor of the log's quota that yields the quota of the witness's journal.
+const WITNESS_QUOTA_DIVISOR: u64 = 4;
+
 /// Time between two attempts to open the folder after its disk failed.
 const REOPEN_DELAY: Duration = Duration::from_millis(500);
 
+/// Maximum bytes of the inputs that wait for the thread.
+const MAX_QUEUED_BYTES: u64 = 8 << 20;
+
+/// Size in bytes of an input besides its configuration or entries.
+const INPUT_OVERHEAD_BYTES: u64 = 512;
+
 /// Time without a draw after which the lease of an entry that no process hears is
 /// closed. Partitions of single instances are shorter.
 const HOLDER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -101,6 +113,31 @@
     Stop(Sender<()>),
 }
 
+impl Input {
+    /// Returns the approximate size of the input in the queue; zero for those that aren't
+    /// repeated and must not be lost.
+    fn size_bytes(&self) -> u64 {
+        match self {
+            Self::Messages(envelopes) => {
+                let sizes = envelopes
+                    .iter()
+                    .map(|envelope| envelope.message.size_bytes());
+                INPUT_OVERHEAD_BYTES + sizes.sum::<u64>()
+            }
+            Self::SubmitConfig(_, body, ..) => INPUT_OVERHEAD_BYTES + body.len() as u64,
+            Self::FormGroup | Self::Stop(_) => 0,
+            Self::ReadConfig(_)
+            | Self::DrawGrants(..)
+            | Self::RecordMark(..)
+            | Self::FenceLease(..)
+            | Self::CloseLease(..)
+            | Self::ListEndedLeases(..)
+            | Self::RemoveAbsent(_)
+            | Self::JoinGroup(..) => INPUT_OVERHEAD_BYTES,
+        }
+    }
+}
+
 /// An ended lease and the witnesses that settle it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SettlingLease {
@@ -153,6 +190,19 @@
     State(#[from] postcard::Error),
 }
 
+impl GroupError {
+    /// Returns whether the folder may become usable again without a change of its content.
+    fn is_transient(&self) -> bool {
+        let (Self::Disk(DiskError::Store(error)) | Self::Store(error)) = self else {
+            return false;
+        };
+        matches!(
+            error,
+            StoreError::NoSpace(_) | StoreError::ReadOnly(_) | StoreError::Io { .. }
+        )
+    }
+}
+
 /// The options of a replica.
 #[derive(Clone)]
 pub struct GroupOptions {
@@ -162,6 +212,8 @@
     pub address: SocketAddr,
     /// Maximum size of the journal, in bytes.
     pub quota_bytes: u64,
+    /// Maximum memory of the process, in bytes.
+    pub memory_bytes: u64,
     /// Number of voters required before the first configuration is accepted.
     pub quorum_size: usize,
     /// Receives the thread's outputs.
@@ -171,7 +223,7 @@
 /// A handle to the thread of the local replica.
 #[derive(Clone)]
 pub struct Group {
-    inputs: mpsc::Sender<Input>,
+    inputs: InputSender<Input>,
     id: KeeperId,
     disk: u64,
 }
@@ -182,22 +234,31 @@
 }
 
 impl Group {
-    /// Opens the data folder and starts the thread.
+    /// Opens the data folder and starts the thread. If the disk is full or fails, the
+    /// replica takes part in the group once the folder can be written.
     ///
     /// # Errors
     ///
-    /// Fails if the folder can't be used.
+    /// Fails if the folder has no identity or is damaged.
     ///
     /// # Panics
     ///
     /// Panics if the operating system can't start a thread.
     pub fn open(options: GroupOptions) -> Result<Self, GroupError> {
-        let local = LocalReplica::open(&options)?;
-        let (inputs, queue) = mpsc::channel();
+        let disk = DataFolder::open(&options.folder, fastrand::u64(1..))?.identity();
+        let local = match LocalReplica::open(&options) {
+            Ok(local) => Some(local),
+            Err(error) if error.is_transient() => {
+                log::error!("group: event=open outcome=failed reason=\"{error}\"");
+                None
+            }
+            Err(error) => return Err(error),
+        };
+        let (inputs, queue) = input_queue::channel(MAX_QUEUED_BYTES);
         let group = Self {
             inputs,
-            id: local.replica.id(),
-            disk: local.disk_id,
+            id: keeper_id(disk),
+            disk,
         };
         thread::Builder::new()
             .name("group".to_owned())
@@ -218,11 +279,13 @@
         self.disk
     }
 
-    /// Sends an input to the thread.
+    /// Sends an input to the thread. If its queue is full, the input is dropped, which
+    /// closes its reply channel.
     pub fn send(&self, input: Input) {
-        if self.inputs.send(input).is_err() {
+        let size_bytes = input.size_bytes();
+        if let Err(error) = self.inputs.send(input, size_bytes) {
             // Other replicas may send messages until they learn that this one has stopped.
-            log::debug!("group: event=input_lost reason=stopped");
+            log::debug!("group: event=input_lost reason=\"{error}\"");
         }
     }
 }
@@ -238,6 +301,15 @@
 }
 
 impl LocalReplica {
+    /// Opens the folder after its disk failed, and writes to it: a replica whose disk
+    /// refuses writes must not take part in elections.
+    fn reopen(options: &GroupOptions) -> Result<Self, GroupError> {
+        let mut local = Self::open(options)?;
+        local.log_store.rewrite(&local.replica)?;
+        local.witness_log.checkpoint()?;
+        Ok(local)
+    }
+
     fn open(options: &GroupOptions) -> Result<Self, GroupError> {
         let folder = DataFolder::open(&options.folder, fastrand::u64(1..))?;
         let disk_id = folder.identity();
@@ -248,7 +320,11 @@
         };
         let path: &Path = &options.folder.join("log");
         let (log_store, recovered) = LogStore::open(path, Members::default(), journal_options)?;
-        let witness_log = WitnessLog::open(&options.folder.join("seals"), journal_options)?;
+        let witness_options = JournalOptions {
+            quota_bytes: options.quota_bytes / WITNESS_QUOTA_DIVISOR,
+            ..journal_options
+        };
+        let witness_log = WitnessLog::open(&options.folder.join("seals"), witness_options)?;
         let data = &recovered.log.snapshot().data;
         let state = if data.is_empty() {
             ReplicatedState::default()
@@ -300,6 +376,9 @@
     leader: Option<KeeperId>,
     is_member: bool,
     applied_index: u64,
+    /// Size of the applied entries in the log, in bytes.
+    applied_bytes: u64,
+    bound: LogBound,
     /// Whether the local replica's address was proposed in this term.
     address_proposed: bool,
     stop_reply: Option<Sender<()>>,
@@ -309,35 +388,48 @@
 }
 
 /// Runs the thread until [`Input::Stop`].
-fn run_replica(options: &GroupOptions, local: LocalReplica, queue: &mpsc::Receiver<Input>) {
-    let mut next = Some(local);
+fn run_replica(options: &GroupOptions, first: Option<LocalReplica>, queue: &InputReceiver<Input>) {
+    let mut next = first;
     loop {
         let local = match next.take() {
             Some(local) => local,
-            None => match LocalReplica::open(options) {
-                Ok(local) => local,
-                Err(error) => {
-                    log::warn!("group: event=reopen outcome=failed reason=\"{error}\"");
-                    thread::sleep(REOPEN_DELAY);
-                    // Dropping an input closes its reply channel, which tells the sender that
-                    // this replica can't answer.
-                    while queue.try_recv().is_ok() {}
-                    continue;
-                }
+            None => match wait_for_disk(options, queue) {
+                Some(local) => local,
+                None => return,
             },
         };
         let mut driver = Driver::new(options, local);
         match driver.serve(queue) {
             Ok(()) => return,
             Err(error) => {
-                (options.output)(Output::LeaderChanged(None));
                 log::error!("group: event=disk_failed reason=\"{error}\"");
-                thread::sleep(REOPEN_DELAY);
+                driver.leave();
             }
         }
     }
 }
 
+/// Opens the folder once its disk can be written again; returns `None` if the process
+/// ends before.
+fn wait_for_disk(options: &GroupOptions, queue: &InputReceiver<Input>) -> Option<LocalReplica> {
+    loop {
+        thread::sleep(REOPEN_DELAY);
+        // Dropping an input closes its reply channel, which tells the sender that this
+        // replica can't answer.
+        loop {
+            match queue.try_recv() {
+                Ok(Input::Stop(_)) | Err(TryRecvError::Disconnected) => return None,
+                Ok(_) => {}
+                Err(TryRecvError::Empty) => break,
+            }
+        }
+        match LocalReplica::reopen(options) {
+            Ok(local) => return Some(local),
+            Err(error) => log::warn!("group: event=reopen outcome=failed reason=\"{error}\""),
+        }
+    }
+}
+
 impl<'a> Driver<'a> {
     fn new(options: &'a GroupOptions, local: LocalReplica) -> Self {
         let base_ms = local.replica.log().last_time_ms();
@@ -355,6 +447,8 @@
             leader: None,
             is_member: false,
             applied_index,
+            applied_bytes: 0,
+            bound: LogBound::new(options.quota_bytes, options.memory_bytes),
             address_proposed: false,
             stop_reply: None,
             started_at: Instant::now(),
@@ -363,7 +457,7 @@
         }
     }
 
-    fn serve(&mut self, queue: &mpsc::Receiver<Input>) -> Result<(), GroupError> {
+    fn serve(&mut self, queue: &InputReceiver<Input>) -> Result<(), GroupError> {
         if self.local.state.config_version > 0 {
             self.publish_config();
         }
@@ -402,6 +496,17 @@
         }
     }
 
+    /// Leaves the group after the disk failed: a leader hands over, and the process learns
+    /// of the next leader from others.
+    fn leave(&mut self) {
+        // These messages depend on no write.
+        for envelope in self.local.replica.transfer_leadership().messages {
+            (self.options.output)(Output::Send(envelope));
+        }
+        (self.options.output)(Output::LeaderChanged(None));
+        (self.options.output)(Output::MembershipChanged(false));
+    }
+
     /// Proposes to record the address of a replica.
     fn propose_address(&mut self, replica: KeeperId, address: SocketAddr) {
         let (reply, _) = async_channel::bounded(1);
@@ -593,6 +698,11 @@
                 return;
             }
         };
+        if !self.bound.admits_command(&self.log_usage()) {
+            log::warn!("group: event=propose outcome=refused reason=\"too much isn't committed\"");
+            self.responses.push((reply, MeshResponse::Unavailable));
+            return;
+        }
         match self.local.replica.propose(bytes) {
             Ok((position, effects)) => {
                 self.merge_effects(effects);
@@ -649,7 +759,8 @@
         while !self.effects.is_empty() {
             let effects = std::mem::take(&mut self.effects);
             if !effects.writes.is_empty() {
-                self.local.log_store.write(&effects.writes)?;
+                let local = &mut self.local;
+                local.log_store.write(&effects.writes, &local.replica)?;
             }
             for envelope in effects.messages {
                 (self.options.output)(Output::Send(envelope));
@@ -657,10 +768,12 @@
             if let Some(snapshot) = effects.snapshot {
                 self.local.state = postcard::from_bytes(&snapshot.data)?;
                 self.applied_index = snapshot.position.index;
+                self.applied_bytes = 0;
                 self.publish_config();
             }
             for entry in effects.committed {
                 self.applied_index = entry.position.index;
+                self.applied_bytes += entry.size_bytes();
                 if let Payload::Data(bytes) = &entry.payload {
                     let command: Command = postcard::from_bytes(bytes)?;
                     let before = self.local.state.config_version;
@@ -739,13 +852,25 @@
         self.responses.push((pending.reply, answer));
     }
 
+    fn log_usage(&self) -> LogUsage {
+        let log = self.local.replica.log();
+        let first = log.snapshot().position.index;
+        LogUsage {
+            applied_entries: self.applied_index.saturating_sub(first),
+            applied_bytes: self.applied_bytes,
+            log_bytes: log.size_bytes(),
+            journal_bytes: self.local.log_store.journal_bytes(),
+        }
+    }
+
     fn compact(&mut self) -> Result<(), GroupError> {
-        if self.local.replica.log().len() < MAX_LOG_ENTRIES {
+        if !self.bound.is_reached(&self.log_usage()) {
             return Ok(());
         }
         let state = postcard::to_stdvec(&self.local.state)?;
         // The checkpoint below writes the snapshot.
         let _ = self.local.replica.compact(self.applied_index, state);
+        self.applied_bytes = 0;
         self.local.log_store.checkpoint(&self.local.replica)?;
         Ok(())
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,6 +1,7 @@
 //! The gateway role: forwards requests unchanged.
 //!
 //! - [`budget`]: draws, lends and returns grants of teams' tokens.
+//! - [`compaction`]: when the replicated log is compacted.
 //! - [`conn`]: a TCP connection with its receive buffer.
 //! - [`connection_pool`]: idle connections to engines.
 //! - [`control`]: the control interface for engines, operators and the load balancer.
@@ -8,6 +9,7 @@
 //! - [`forwarding`]: forwards one request to engines.
 //! - [`frontend`]: the HTTP server for callers.
 //! - [`group`]: the consensus driver, a thread that owns a replica and its disk.
+//! - [`input_queue`]: the queue of inputs to the replica's thread.
 //! - [`leader_requests`]: requests to the group's leader, and joining the group.
 //! - [`mesh`]: state updates between processes.
 //! - [`metrics`]: request counters and latency histograms.
@@ -21,6 +23,7 @@
 //! - [`witness_log`]: the journal of high-water marks on a witness's disk.
 
 pub mod budget;
+pub mod compaction;
 pub mod conn;
 pub mod connection_pool;
 pub mod control;
@@ -28,6 +31,7 @@
 pub mod forwarding;
 pub mod frontend;
 pub mod group;
+pub mod input_queue;
 pub mod leader_requests;
 pub mod mesh;
 pub mod metrics;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -100,6 +100,7 @@
                     folder: folder.clone(),
                     address,
                     quota_bytes: (settings.limits.disk_mb << 20) / JOURNAL_DISK_DIVISOR,
+                    memory_bytes: settings.limits.memory_mb << 20,
                     quorum_size: 2 * settings.fault_tolerance.instances + 1,
                     output: Arc::new(move |output| {
                         let lost = match output {
--- a/crates/gateway/src/witness_log.rs
+++ b/crates/gateway/src/witness_log.rs
@@ -11,9 +11,14 @@
 use store::Journal;
 use store::JournalOptions;
 
-/// Number of records after which the journal is replaced by a checkpoint.
+/// Number of records after which the journal is replaced by a checkpoint, whatever their
+/// size.
 const MAX_JOURNAL_RECORDS: u64 = 2_000;
 
+/// Divisor of the journal's quota that yields the size at which it is replaced by a
+/// checkpoint.
+const QUOTA_DIVISOR: u64 = 4;
+
 /// A record of the journal.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 enum JournalRecord {
@@ -35,6 +40,7 @@
 pub struct WitnessLog {
     journal: Journal,
     record_count: u64,
+    max_bytes: u64,
     leases: Map<u64, LeaseRecord>,
 }
 
@@ -54,6 +60,7 @@
         let mut log = Self {
             journal,
             record_count: recovered.records.len() as u64,
+            max_bytes: options.quota_bytes / QUOTA_DIVISOR,
             leases: Map::default(),
         };
         if let Some(bytes) = &recovered.checkpoint {
@@ -125,13 +132,24 @@
     /// Fails if the disk fails.
     pub fn sync(&mut self, closed: impl Fn(u64) -> bool) -> Result<(), DiskError> {
         self.journal.sync()?;
-        if self.record_count >= MAX_JOURNAL_RECORDS {
+        let is_long = self.record_count >= MAX_JOURNAL_RECORDS;
+        if is_long || self.journal.size_bytes() >= self.max_bytes {
             self.leases
                 .retain(|&lease, known| !known.is_fenced || !closed(lease));
-            let bytes = postcard::to_stdvec(&self.leases).map_err(DiskError::Encode)?;
-            self.journal.checkpoint(&bytes)?;
-            self.record_count = 0;
+            self.checkpoint()?;
         }
         Ok(())
     }
+
+    /// Replaces the journal by a checkpoint.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the disk fails.
+    pub fn checkpoint(&mut self) -> Result<(), DiskError> {
+        let bytes = postcard::to_stdvec(&self.leases).map_err(DiskError::Encode)?;
+        self.journal.checkpoint(&bytes)?;
+        self.record_count = 0;
+        Ok(())
+    }
 }
--- /dev/null
+++ b/crates/gateway/tests/bounds.rs
@@ -0,0 +1,58 @@
+//! Queues and journals that are bounded in bytes.
+
+use std::fs;
+use std::process;
+use std::sync::mpsc::TryRecvError;
+
+use gateway::input_queue;
+use gateway::input_queue::SendError;
+use gateway::witness_log::WitnessLog;
+use ledger::allowance::HighWaterMark;
+use store::JournalOptions;
+
+/// Guards against a process that runs out of memory while its disk hangs and other
+/// replicas send it configurations.
+#[test]
+fn inputs_that_wait_for_the_disk_are_bounded_in_bytes() {
+    let (sender, receiver) = input_queue::channel(1_000);
+    assert_eq!(sender.send(1, 5_000), Ok(()), "alone");
+    assert_eq!(sender.send(2, 1), Err(SendError::Full));
+    assert_eq!(sender.send(3, 0), Ok(()), "an input that must not be lost");
+    assert_eq!(receiver.try_recv(), Ok(1));
+    assert_eq!(sender.send(4, 600), Ok(()));
+    assert_eq!(sender.send(5, 600), Err(SendError::Full));
+    assert_eq!(receiver.try_recv(), Ok(3));
+    assert_eq!(receiver.try_recv(), Ok(4));
+    assert_eq!(receiver.try_recv(), Err(TryRecvError::Empty));
+    drop(receiver);
+    assert_eq!(sender.send(6, 1), Err(SendError::Stopped));
+}
+
+/// Guards against a witness that can't record any more because marks with many teams fill
+/// its journal before their number compacts it.
+#[test]
+fn marks_of_many_teams_do_not_fill_the_journal_of_a_witness() {
+    let folder = std::env::temp_dir().join(format!("witness-marks-{}", process::id()));
+    let _ = fs::remove_dir_all(&folder);
+    let options = JournalOptions {
+        segment_bytes: 64 << 10,
+        quota_bytes: 256 << 10,
+        fsync: false,
+    };
+    let mut log = WitnessLog::open(&folder, options).expect("opened");
+    for round in 1..=1_000 {
+        let limits = (0..100)
+            .map(|team| (format!("team-{team}"), round))
+            .collect();
+        let mark = HighWaterMark { lease: 1, limits };
+        assert!(log.record_mark(&mark).expect("recorded"));
+        log.sync(|_| false)
+            .unwrap_or_else(|error| panic!("round {round}: {error}"));
+    }
+    drop(log);
+    let mut log = WitnessLog::open(&folder, options).expect("opened");
+    let opened = log.fence(1).expect("fenced");
+    assert_eq!(opened.len(), 100);
+    assert!(opened.iter().all(|(_, limit)| *limit == 1_000));
+    let _ = fs::remove_dir_all(&folder);
+}
--- a/crates/mulberryctl/src/bench/keeper.rs
+++ b/crates/mulberryctl/src/bench/keeper.rs
@@ -14,6 +14,7 @@
 use consensus::LogWrite;
 use consensus::Payload;
 use consensus::Position;
+use consensus::Replica;
 use daemon::keeper::state::StateCommand;
 use daemon::keeper::storage::Storage;
 use eyre::Result;
@@ -120,7 +121,8 @@
         ..JournalOptions::default()
     };
     {
-        let (mut storage, _) = Storage::open(&folder, keeper, &[keeper], options)?;
+        let (mut storage, recovered) = Storage::open(&folder, keeper, &[keeper], options)?;
+        let mut log = recovered.log;
         let mut writes = Vec::new();
         for index in 1..=records {
             let top_up = TopUp {
@@ -134,9 +136,12 @@
                 time_ms: 1,
                 payload: Payload::Data(postcard::to_stdvec(&command)?),
             };
+            log.push(entry.clone());
             writes.push(LogWrite::Append(entry));
         }
-        storage.write(&writes, &[])?;
+        let disk = storage.identity();
+        let replica = Replica::new(keeper, disk, recovered.hard_state, log, 1);
+        storage.write(&writes, &[], &replica)?;
     }
     let started = Instant::now();
     let (_, recovered) = Storage::open(&folder, keeper, &[keeper], options)?;
--- a/crates/store/src/folder.rs
+++ b/crates/store/src/folder.rs
@@ -4,6 +4,7 @@
 use std::fs::File;
 use std::fs::OpenOptions;
 use std::fs::TryLockError;
+use std::io;
 use std::io::Write as _;
 use std::path::Path;
 use std::path::PathBuf;
@@ -77,27 +78,53 @@
         });
     }
     let identity = new_identity.max(1);
-    write_atomically(&file, format!("{identity:016x}\n").as_bytes())?;
+    write_atomically(&file, &[format!("{identity:016x}\n").as_bytes()])?;
     Ok(identity)
 }
 
-/// Replaces a file atomically: after a crash it holds either the old or the new content.
+/// Returns the path of the temporary file with which `path` is replaced.
+fn draft_path(path: &Path) -> PathBuf {
+    path.with_extension("draft")
+}
+
+/// Replaces a file atomically: after a crash it holds either the old content or `parts`,
+/// one after the other.
 ///
-/// The content goes to a temporary file, which is synced and renamed.
+/// The content goes to a temporary file, which is synced and renamed. If that fails, the
+/// temporary file is removed, so that it takes no room on a full disk.
 ///
 /// # Errors
 ///
 /// Fails where the file can't be written or synced.
-pub fn write_atomically(path: &Path, bytes: &[u8]) -> Result<(), StoreError> {
-    let temporary = path.with_extension("draft");
-    let io_error = |e| StoreError::io(path, e);
-    let mut file = File::create(&temporary).map_err(io_error)?;
-    file.write_all(bytes).map_err(io_error)?;
-    file.sync_all().map_err(io_error)?;
-    fs::rename(&temporary, path).map_err(io_error)?;
+pub fn write_atomically(path: &Path, parts: &[&[u8]]) -> Result<(), StoreError> {
+    let draft = draft_path(path);
+    if let Err(error) = write_draft(&draft, parts) {
+        remove_draft(path);
+        return Err(StoreError::io(path, error));
+    }
+    fs::rename(&draft, path).map_err(|e| StoreError::io(path, e))?;
     sync_parent(path)
 }
 
+fn write_draft(draft: &Path, parts: &[&[u8]]) -> io::Result<()> {
+    let mut file = File::create(draft)?;
+    for part in parts {
+        file.write_all(part)?;
+    }
+    file.sync_all()
+}
+
+/// Removes the temporary file that a failed replacement of `path`, or a crash during it,
+/// may have left.
+pub(crate) fn remove_draft(path: &Path) {
+    let draft = draft_path(path);
+    if draft.exists()
+        && let Err(error) = fs::remove_file(&draft)
+    {
+        log::warn!("store: {} isn't removed: {error}", draft.display());
+    }
+}
+
 /// Syncs the parent folder of `path`, so that the file's name survives a crash.
 ///
 /// # Errors
--- a/crates/store/src/journal.rs
+++ b/crates/store/src/journal.rs
@@ -15,6 +15,7 @@
 
 use crate::error::Corruption;
 use crate::error::StoreError;
+use crate::folder::remove_draft;
 use crate::folder::sync_parent;
 use crate::folder::write_atomically;
 use crate::record;
@@ -140,6 +141,7 @@
         options: JournalOptions,
     ) -> Result<(Self, RecoveredJournal), StoreError> {
         fs::create_dir_all(folder).map_err(|e| StoreError::io(folder, e))?;
+        remove_draft(&checkpoint_path(folder));
         let mut recovered = RecoveredJournal::default();
         let mut checkpoint_last = 0;
         if let Some((last, state)) = read_checkpoint(folder)? {
@@ -256,6 +258,14 @@
         Ok(())
     }
 
+    /// Starts the next segment. After an error the folder may hold a part of it, so the
+    /// journal accepts no more records.
+    fn roll_segment(&mut self) -> Result<(), StoreError> {
+        let result = self.start_segment();
+        self.poisoned |= result.is_err();
+        result
+    }
+
     fn flush(&mut self) -> Result<(), StoreError> {
         if self.size_bytes() > self.options.quota_bytes {
             return Err(StoreError::NoSpace(self.folder.clone()));
@@ -298,7 +308,7 @@
         result
     }
 
-    fn roll_segment(&mut self) -> Result<(), StoreError> {
+    fn start_segment(&mut self) -> Result<(), StoreError> {
         let path = create_segment(&self.folder, self.next_record)?;
         let file = OpenOptions::new()
             .append(true)
@@ -323,9 +333,12 @@
     /// where an old segment can't be deleted.
     pub fn checkpoint(&mut self, state: &[u8]) -> Result<(), StoreError> {
         self.sync()?;
-        let mut bytes = record::segment_header(self.next_record - 1).to_vec();
-        record::encode(&mut bytes, 0, state);
-        write_atomically(&checkpoint_path(&self.folder), &bytes)?;
+        let header = record::segment_header(self.next_record - 1);
+        let record_header = record::record_header(0, state);
+        write_atomically(
+            &checkpoint_path(&self.folder),
+            &[&header, &record_header, state],
+        )?;
         if self.next_record > self.first_record {
             self.roll_segment()?;
         }
--- a/crates/store/src/record.rs
+++ b/crates/store/src/record.rs
@@ -61,13 +61,22 @@
     out
 }
 
+/// Returns the header of a record with this content.
+#[must_use]
+pub fn record_header(synced_offset: u64, content: &[u8]) -> [u8; RECORD_HEADER_BYTES] {
+    let length = u32::try_from(content.len()).unwrap_or(u32::MAX);
+    let mut out = [0; RECORD_HEADER_BYTES];
+    out[..4].copy_from_slice(RECORD_MAGIC);
+    out[4..8].copy_from_slice(&length.to_le_bytes());
+    out[8..16].copy_from_slice(&synced_offset.to_le_bytes());
+    let sum = checksum(length, synced_offset, content);
+    out[16..].copy_from_slice(&sum.to_le_bytes());
+    out
+}
+
 /// Appends the encoded record to `out`.
 pub fn encode(out: &mut Vec<u8>, synced_offset: u64, content: &[u8]) {
-    let length = u32::try_from(content.len()).unwrap_or(u32::MAX);
-    out.extend_from_slice(RECORD_MAGIC);
-    out.extend_from_slice(&length.to_le_bytes());
-    out.extend_from_slice(&synced_offset.to_le_bytes());
-    out.extend_from_slice(&checksum(length, synced_offset, content).to_le_bytes());
+    out.extend_from_slice(&record_header(synced_offset, content));
     out.extend_from_slice(content);
 }
 
