--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -86,20 +86,24 @@
     },
 }
 
+/// Size in bytes of a message without entries.
+const MESSAGE_OVERHEAD_BYTES: u64 = 128;
+
 impl Message {
-    /// Returns the number of bytes of commands and state that the message carries.
+    /// Returns the approximate size of the message, in bytes.
     #[must_use]
-    pub fn size(&self) -> usize {
-        match self {
-            Self::AppendEntries { entries, .. } => entries.iter().map(Entry::size).sum(),
-            Self::InstallSnapshot { snapshot, .. } => snapshot.data.len(),
+    pub fn size_bytes(&self) -> u64 {
+        let content = match self {
+            Self::AppendEntries { entries, .. } => entries.iter().map(Entry::size_bytes).sum(),
+            Self::InstallSnapshot { snapshot, .. } => snapshot.data.len() as u64,
             Self::RequestVote { .. }
             | Self::VoteResponse { .. }
             | Self::AppendResponse { .. }
             | Self::TimeoutNow
             | Self::Heartbeat { .. }
             | Self::HeartbeatResponse { .. } => 0,
-        }
+        };
+        MESSAGE_OVERHEAD_BYTES + content
     }
 
     /// Returns whether the message belongs to the sequence of entries and snapshots, in which
--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -6,13 +6,13 @@
 const MAX_INFLIGHT_MESSAGES: usize = 8;
 
 /// Bytes in flight from which no further entries are sent until some are acknowledged.
-const MAX_INFLIGHT_BYTES: usize = 1 << 20;
+const MAX_INFLIGHT_BYTES: u64 = 1 << 20;
 
 /// An append message that the follower hasn't acknowledged yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct InflightAppend {
     last_index: u64,
-    bytes: usize,
+    bytes: u64,
 }
 
 /// A leader's replication state for one follower.
@@ -50,7 +50,7 @@
     /// held back goes out together with the next acknowledgement.
     #[must_use]
     pub fn can_send(&self) -> bool {
-        let bytes: usize = self.inflight.iter().map(|append| append.bytes).sum();
+        let bytes: u64 = self.inflight.iter().map(|append| append.bytes).sum();
         self.inflight.len() < MAX_INFLIGHT_MESSAGES && bytes < MAX_INFLIGHT_BYTES
     }
 
@@ -61,7 +61,7 @@
     }
 
     /// Records that entries up to `last_index` were sent.
-    pub fn record_sent(&mut self, last_index: u64, bytes: usize) {
+    pub fn record_sent(&mut self, last_index: u64, bytes: u64) {
         self.next_index = last_index + 1;
         self.inflight
             .push_back(InflightAppend { last_index, bytes });
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -71,7 +71,7 @@
             Vec::new()
         };
         if let Some(last) = entries.last() {
-            let bytes = entries.iter().map(Entry::size).sum();
+            let bytes = entries.iter().map(Entry::size_bytes).sum();
             progress.record_sent(last.position.index, bytes);
         }
         let message = Message::AppendEntries {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`advertise`]: checks the address that peers use.
 //! - [`budget`]: draws, lends and returns grants of teams' tokens.
+//! - [`compaction`]: when the replicated log is compacted.
 //! - [`config_sync`]: fetches newer configurations from peers and confirms the latest one.
 //! - [`conn`]: a TCP connection with its receive buffer.
 //! - [`connection_pool`]: idle connections to engines.
@@ -10,6 +11,7 @@
 //! - [`forwarding`]: forwards one request to engines.
 //! - [`frontend`]: the HTTP server for callers.
 //! - [`group`]: the consensus driver, a thread that owns a replica and its disk.
+//! - [`input_queue`]: the queue of inputs to the replica's thread.
 //! - [`leader_requests`]: requests to the group's leader, and joining the group.
 //! - [`mesh`]: state updates between processes.
 //! - [`metrics`]: request counters and latency histograms.
@@ -24,6 +26,7 @@
 
 pub mod advertise;
 pub mod budget;
+pub mod compaction;
 pub mod config_sync;
 pub mod conn;
 pub mod connection_pool;
@@ -32,6 +35,7 @@
 pub mod forwarding;
 pub mod frontend;
 pub mod group;
+pub mod input_queue;
 pub mod leader_requests;
 pub mod mesh;
 pub mod metrics;
--- a/crates/gateway/src/replica_messages.rs
+++ b/crates/gateway/src/replica_messages.rs
@@ -78,7 +78,10 @@
 ) {
     let started_at = shared.now();
     let messages = batch.len();
-    let bytes: usize = batch.iter().map(|envelope| envelope.message.size()).sum();
+    let bytes: u64 = batch
+        .iter()
+        .map(|envelope| envelope.message.size_bytes())
+        .sum();
     let request = MeshRequest::Replica(batch);
     let delivered = match lane {
         Lane::Control => request_peer(shared, address, request, REPLICA_MESSAGE_TIMEOUT).await,
--- a/crates/gateway/tests/resubmission.rs
+++ b/crates/gateway/tests/resubmission.rs
@@ -37,6 +37,7 @@
         folder: folder.clone(),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         quota_bytes: 8 << 20,
+        memory_bytes: 256 << 20,
         quorum_size: 1,
         output: Arc::new(|_| {}),
     };
