entry: three answers where tokens are lacking: exhausted, not available, unknown

What callers saw: "not run" for a call that ran, and 402 for a budget that was not spent. A wait for tokens that timed out after 3 s was answered as an exhausted budget, and after 400 ms the keeper called exhausted whatever it could not grant, though running requests or other entries held the tokens. The entry then found no claim or record and reported "not run", while another entry still waited with the same key and ran it later.

Cause: two timers decided what only the state of others can tell.

Change: an entry reports an exhausted budget only if the leader confirms, by a read from a quorum, that the tokens credited and not billed don't cover the request. Otherwise it answers 503 `budget_unavailable`. An entry registers a request with a key at the keepers of its record before it waits, and a call before its claim; one that gives up is told whether others still wait. "Not run" is reported only if none does and no claim or record is found; if others wait or a keeper doesn't answer, the outcome is unknown. The same holds where no quorum answers a claim or its release.

Messages are added at the end of their enums; the protocol's version stays.

--- a/crates/caller/src/error.rs
+++ b/crates/caller/src/error.rs
@@ -129,6 +129,7 @@
             Self::KeyReused => "key_reused",
             Self::UnknownRequest => "no_request",
             Self::NotRun(NotRun::BudgetExceeded) => "budget",
+            Self::NotRun(NotRun::TokensUnavailable) => "budget_unavailable",
             Self::NotRun(NotRun::Overload) => "overload",
             Self::NotRun(_) => "unavailable",
             Self::OutcomeUnknown => "outcome_unknown",
--- a/crates/daemon/src/entry/admission.rs
+++ b/crates/daemon/src/entry/admission.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use async_io::Timer;
-use base::EndpointId;
 use base::Span;
 use base::Time;
 use futures_lite::FutureExt as _;
@@ -14,7 +13,9 @@
 use routing::queue::expected_wait;
 
 use super::Entry;
+use super::execution::AttemptState;
 use super::execution::Job;
+use super::execution::submissions;
 use super::tables::ChosenEndpoint;
 use super::tables::Endpoints;
 use super::tables::QueuedRequest;
@@ -34,18 +35,20 @@
 /// # Errors
 ///
 /// Fails if no endpoint serves the job or none is expected to have capacity in time.
-pub async fn acquire_endpoint(
+pub(super) async fn acquire_endpoint(
     entry: &Entry,
     job: &Job,
-    excluded: &[EndpointId],
+    state: &mut AttemptState,
 ) -> Result<ChosenEndpoint, NotRun> {
     loop {
         let now = entry.context.clock.now();
         for service in &job.service_names {
-            match entry
-                .tables
-                .choose_endpoint(service, job.prefix_digest, excluded, now)
-            {
+            match entry.tables.choose_endpoint(
+                service,
+                job.prefix_digest,
+                &state.excluded_endpoints,
+                now,
+            ) {
                 Ok(chosen) => return Ok(chosen),
                 Err(EndpointChoice::Saturated) => {}
                 Err(EndpointChoice::Unavailable | EndpointChoice::Endpoint(..))
@@ -55,6 +58,7 @@
                 }
             }
         }
+        submissions::register(entry, job, state).await;
         wait_for_capacity(entry, job, now).await?;
     }
 }
--- a/crates/daemon/src/entry/budget.rs
+++ b/crates/daemon/src/entry/budget.rs
@@ -438,8 +438,8 @@
     }
 }
 
-/// Acquires the tokens that a request lacks; returns whether no reachable keeper has
-/// further tokens.
+/// Acquires the tokens that a request lacks; returns whether a keeper has answered that it
+/// can't grant them now.
 pub async fn acquire_tokens(entry: &Entry, team: TeamId, need: Tokens) -> bool {
     for _ in 0..2 {
         let now = entry.context.clock.now();
@@ -468,7 +468,7 @@
         {
             Ok(PeerResponse::Granted(granted)) => {
                 entry.budget.record_renewal(lease, sent_at, &granted);
-                return granted.iter().any(|grant| grant.exhausted);
+                return granted.iter().any(|grant| grant.unmet);
             }
             Ok(PeerResponse::LeaseEnded) => entry.budget.end_lease(lease),
             Ok(_) | Err(_) => {
@@ -480,6 +480,21 @@
     false
 }
 
+/// Returns whether a quorum of keepers has confirmed that less than `need` of the team's
+/// budget is unspent, whoever holds it.
+pub async fn is_exhausted(entry: &Entry, team: TeamId, need: Tokens) -> bool {
+    for peer in &entry.context.keepers {
+        let response =
+            entry
+                .node
+                .request(peer.address, PeerRequest::Unspent(team), ACQUIRE_TIMEOUT);
+        if let Ok(PeerResponse::Unspent(unspent)) = response.await {
+            return unspent < need;
+        }
+    }
+    false
+}
+
 /// Renews the leases and returns idle tokens, at regular intervals.
 pub async fn renew_leases(entry: Entry) {
     loop {
--- a/crates/daemon/src/entry/execution.rs
+++ b/crates/daemon/src/entry/execution.rs
@@ -43,6 +43,7 @@
 
 mod at_most_once;
 mod records;
+pub(super) mod submissions;
 
 /// Maximum time to wait for a keeper or agent while a request runs.
 const KEEPER_TIMEOUT: Span = Span::millis(600);
@@ -96,11 +97,13 @@
 
 /// The state that one attempt passes to the next.
 #[derive(Default)]
-struct AttemptState {
-    excluded_endpoints: Vec<EndpointId>,
+pub(super) struct AttemptState {
+    pub(super) excluded_endpoints: Vec<EndpointId>,
     /// Nonces of records whose orders have ended, and of this request's own record.
     record_nonces: Vec<u64>,
     joins: u32,
+    /// Whether the keepers know that this entry waits with the request.
+    registered: bool,
     prompt_tokens: Tokens,
     reservation: Option<Reservation>,
 }
@@ -128,6 +131,12 @@
             }
         }
     };
+    if state.registered {
+        let task = submissions::withdraw(entry.clone(), job.answer.request);
+        entry.context.pool.spawn(async move {
+            task.await;
+        });
+    }
     let single_attempt = retry_state.attempt() == 1;
     settle_reservation(
         &entry,
@@ -203,7 +212,7 @@
     retry_state: &mut RetryState,
     assembly: &mut Assembly,
 ) -> AttemptResult {
-    let endpoint = match admission::acquire_endpoint(entry, job, &state.excluded_endpoints).await {
+    let endpoint = match admission::acquire_endpoint(entry, job, state).await {
         Ok(endpoint) => endpoint,
         Err(NotRun::NoEndpoint) if !state.excluded_endpoints.is_empty() => {
             // Every endpoint has been tried; the first may have recovered.
@@ -238,15 +247,18 @@
     {
         return finish_unknown();
     }
+    // An entry registers before it claims or records the request, so submissions are read
+    // before claims and records.
+    let refused = refuse(entry, job, state, reason).await;
     if !job.answer.has_key || !state.record_nonces.is_empty() {
-        return finish_not_run(reason);
+        return refused;
     }
     if job.repeatable {
         match records::find_record(entry, job.answer.request).await {
             Some(Some(record)) => {
                 join_recorded(entry, job, state, retry_state, assembly, &record).await
             }
-            Some(None) => finish_not_run(reason),
+            Some(None) => refused,
             None => finish_unknown(),
         }
     } else {
@@ -254,12 +266,30 @@
             Some(Some(claim)) => {
                 at_most_once::join_claim(entry, job, state, retry_state, assembly, claim).await
             }
-            Some(None) => finish_not_run(reason),
+            Some(None) => refused,
             None => finish_unknown(),
         }
     }
 }
 
+/// Returns the result of a request for which this entry has sent nothing: "not run" only if
+/// no other entry waits with a request of the same key.
+async fn refuse(
+    entry: &Entry,
+    job: &Job,
+    state: &mut AttemptState,
+    reason: NotRun,
+) -> AttemptResult {
+    if !job.answer.has_key {
+        return finish_not_run(reason);
+    }
+    state.registered = false;
+    match submissions::withdraw(entry.clone(), job.answer.request).await {
+        Some(false) => finish_not_run(reason),
+        Some(true) | None => finish_unknown(),
+    }
+}
+
 fn decide_retry(
     entry: &Entry,
     retry_state: &mut RetryState,
@@ -315,12 +345,13 @@
     let prompt_count = job.prompt_count.min(job.prompt_bound);
     let amount = prompt_count.saturating_add(job.max_tokens);
     state.prompt_tokens = prompt_count;
+    submissions::register(entry, job, state).await;
     let started_at = entry.context.clock.now();
     loop {
         if let Ok(reservation) = reserve(amount) {
             return Ok(reservation);
         }
-        let exhausted = budget::acquire_tokens(entry, team, amount).await;
+        let unmet = budget::acquire_tokens(entry, team, amount).await;
         let error = match reserve(amount) {
             Ok(reservation) => return Ok(reservation),
             Err(error) => error,
@@ -328,10 +359,14 @@
         // Another request may have reserved the new tokens, so more are acquired.
         let waited = entry.context.clock.now().since(started_at);
         match error {
-            ReserveError::InsufficientTokens if exhausted => return Err(NotRun::BudgetExceeded),
-            ReserveError::InsufficientTokens if waited >= BUDGET_TIMEOUT => {
+            ReserveError::InsufficientTokens
+                if unmet && budget::is_exhausted(entry, team, amount).await =>
+            {
                 return Err(NotRun::BudgetExceeded);
             }
+            ReserveError::InsufficientTokens if waited >= BUDGET_TIMEOUT => {
+                return Err(NotRun::TokensUnavailable);
+            }
             ReserveError::NoLease if waited >= BUDGET_TIMEOUT => return Err(NotRun::NoLease),
             ReserveError::InsufficientTokens | ReserveError::NoLease => {}
         }
--- a/crates/daemon/src/entry/execution/at_most_once.rs
+++ b/crates/daemon/src/entry/execution/at_most_once.rs
@@ -21,10 +21,11 @@
 use super::KEEPER_TIMEOUT;
 use super::MAX_JOINS;
 use super::attach;
-use super::finish_not_run;
 use super::finish_unknown;
+use super::refuse;
 use super::release_reservation;
 use super::send_order;
+use super::submissions;
 
 /// Claims a call that may run at most once, and sends it.
 pub(super) async fn run_claimed(
@@ -35,6 +36,8 @@
     assembly: &mut Assembly,
     endpoint: &ChosenEndpoint,
 ) -> AttemptResult {
+    // Another entry that gives up must know of this call before the claim is committed.
+    submissions::register(entry, job, state).await;
     let claim = Claim {
         request: job.answer.request,
         digest: job.answer.digest,
@@ -50,8 +53,8 @@
         Some(ClaimResult::Conflict(earlier)) => {
             return join_claim(entry, job, state, retry_state, assembly, earlier).await;
         }
-        // Nothing has been sent, and without the claim nothing will be.
-        None => return finish_not_run(NotRun::NoQuorum),
+        // Nothing has been sent, and without the claim this entry will send nothing.
+        None => return refuse(entry, job, state, NotRun::NoQuorum).await,
     }
     let result = send_order(entry, job, state, retry_state, assembly, endpoint).await;
     let unsent = matches!(
@@ -60,9 +63,8 @@
             | AttemptResult::Finished(AnswerOutcome::Failed(CallerError::NotRun(_)), _)
     );
     if unsent && !release_claim(entry, claim).await {
-        // The claim may still be held and would block another attempt. The call has not
-        // run, so that is what is reported.
-        return finish_not_run(NotRun::NoQuorum);
+        // The claim may still be held and would block another attempt.
+        return refuse(entry, job, state, NotRun::NoQuorum).await;
     }
     result
 }
@@ -116,7 +118,7 @@
             if release_claim(entry, claim).await {
                 AttemptResult::Retry
             } else {
-                finish_not_run(NotRun::NoQuorum)
+                refuse(entry, job, state, NotRun::NoQuorum).await
             }
         }
         _ => finish_unknown(),
--- a/crates/daemon/src/keeper/core.rs
+++ b/crates/daemon/src/keeper/core.rs
@@ -13,7 +13,6 @@
 use base::KeeperId;
 use base::LeaseId;
 use base::Map;
-use base::RequestId;
 use base::Span;
 use base::TeamId;
 use base::Time;
@@ -40,6 +39,7 @@
 use ledger::reclaim::ReclaimStatus;
 use ledger::verify;
 use request::Records;
+use request::Submissions;
 use routing::EndpointAnnouncement;
 use routing::Registry;
 use routing::membership::RegistryUpdate;
@@ -136,9 +136,10 @@
     lease_holders: LeaseHolders,
     registry: Registry,
     records: Records,
+    submissions: Submissions,
     /// The proposal's term and its response, by log index.
     pending_responses: BTreeMap<u64, (u64, PendingResponse)>,
-    pending_reads: BTreeMap<u64, (RequestId, ResponseSender)>,
+    pending_reads: BTreeMap<u64, (PeerRequest, ResponseSender)>,
     /// The identifier of the latest linearizable read.
     last_read: u64,
     pending_acquires: Vec<PendingAcquire>,
@@ -216,6 +217,7 @@
             share: params.share,
             registry: Registry::default(),
             records: Records::default(),
+            submissions: Submissions::default(),
             pending_responses: BTreeMap::new(),
             pending_reads: BTreeMap::new(),
             last_read: 0,
@@ -306,9 +308,8 @@
                 CommittedItem::Entry(entry) => self.apply_entry(&entry),
                 CommittedItem::Read(read_id) => {
                     if let Some((request, reply)) = self.pending_reads.remove(&read_id) {
-                        let claim = self.state.claims.get(request);
-                        self.outputs
-                            .push(Output::Respond(reply, PeerResponse::CurrentClaim(claim)));
+                        let response = self.read_state(&request);
+                        self.outputs.push(Output::Respond(reply, response));
                     }
                 }
             }
@@ -547,7 +548,16 @@
                     PeerRequest::ReleaseClaim(claim),
                 );
             }
-            PeerRequest::FindClaim(request) => self.on_find_claim(request, reply),
+            PeerRequest::FindClaim(_) | PeerRequest::Unspent(_) => self.on_read(request, reply),
+            PeerRequest::Await(request, entry, time_left) => {
+                self.submissions
+                    .register(request, entry, time_left, self.now);
+                self.respond(reply, PeerResponse::Done);
+            }
+            PeerRequest::Withdraw(request, entry) => {
+                let others_wait = self.submissions.withdraw(request, entry, self.now);
+                self.respond(reply, PeerResponse::Withdrawn(others_wait));
+            }
             PeerRequest::Propose(data) => self.on_propose(&data, reply),
             PeerRequest::Submit(document, operator) => self.on_submit(&document, operator, reply),
             PeerRequest::Check(document) => {
@@ -591,13 +601,11 @@
         }
     }
 
-    /// Reads a claim once a quorum has confirmed that this keeper is still the leader.
-    fn on_find_claim(&mut self, request: RequestId, reply: ResponseSender) {
+    /// Reads the replicated state once a quorum has confirmed that this keeper is still the
+    /// leader.
+    fn on_read(&mut self, request: PeerRequest, reply: ResponseSender) {
         if self.replica.role() != Role::Leader {
-            self.forward(
-                PeerRequest::FindClaim(request),
-                PendingResponse::Acknowledge(reply),
-            );
+            self.forward(request, PendingResponse::Acknowledge(reply));
             return;
         }
         self.last_read += 1;
@@ -606,6 +614,19 @@
         self.collect_effects(effects);
     }
 
+    fn read_state(&self, request: &PeerRequest) -> PeerResponse {
+        match request {
+            PeerRequest::FindClaim(request) => {
+                PeerResponse::CurrentClaim(self.state.claims.get(*request))
+            }
+            PeerRequest::Unspent(team) => {
+                let account = self.state.ledger.account(*team);
+                PeerResponse::Unspent(account.map_or(Tokens::ZERO, ledger::Account::unspent))
+            }
+            _ => PeerResponse::Unsupported,
+        }
+    }
+
     fn on_propose(&mut self, data: &[u8], reply: ResponseSender) {
         match postcard::from_bytes::<StateCommand>(data) {
             Ok(command) if self.replica.role() == Role::Leader => {
--- a/crates/daemon/src/keeper/core/grants.rs
+++ b/crates/daemon/src/keeper/core/grants.rs
@@ -100,7 +100,7 @@
                 let granted = acquire.demands.iter().map(|demand| TokenGrant {
                     team: demand.team,
                     total: self.share.grant(acquire.lease, demand.team).granted,
-                    exhausted: !demand.required.is_zero(),
+                    unmet: !demand.required.is_zero(),
                 });
                 let granted = granted.collect();
                 self.respond(acquire.reply, PeerResponse::Granted(granted));
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -11,6 +11,7 @@
 use base::EntryId;
 use base::LeaseId;
 use base::RequestId;
+use base::Span;
 use base::TeamId;
 use base::Tokens;
 use config::Document;
@@ -68,8 +69,8 @@
     pub team: TeamId,
     /// The total of tokens granted under the lease.
     pub total: Tokens,
-    /// Whether no reachable keeper has further tokens.
-    pub exhausted: bool,
+    /// Whether the required tokens could not be granted. Others may hold them.
+    pub unmet: bool,
 }
 
 /// A request for what has changed for an entry.
@@ -228,6 +229,12 @@
     RemoveKeeper(u32),
     /// An operator releases the tokens that are withheld for a lease.
     ReleaseLease(LeaseId),
+    /// An entry asks for the tokens that a team has not spent, as read from a quorum.
+    Unspent(TeamId),
+    /// An entry waits with a request for at most this time before it sends it.
+    Await(RequestId, EntryId, Span),
+    /// An entry no longer waits with a request.
+    Withdraw(RequestId, EntryId),
 }
 
 /// The response to a [`PeerRequest`].
@@ -275,6 +282,10 @@
     TopUpOutcome(TopUpOutcome),
     /// The request was refused, for this reason.
     Refused(String),
+    /// The tokens credited to a team and not billed.
+    Unspent(Tokens),
+    /// Whether other entries still wait with the request.
+    Withdrawn(bool),
 }
 
 /// A request for a stream of frames.
--- a/crates/ledger/src/accounts.rs
+++ b/crates/ledger/src/accounts.rs
@@ -66,6 +66,12 @@
             .sum()
     }
 
+    /// Returns the tokens credited and not billed, whoever holds them.
+    #[must_use]
+    pub fn unspent(&self) -> Tokens {
+        self.credits.saturating_sub(self.settled)
+    }
+
     /// Returns the tokens held in all shares.
     #[must_use]
     pub fn held(&self) -> Tokens {
--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`records`]: which agent runs a request, for retries.
 //! - [`replay`]: the buffer of an answer at the sending agent.
 //! - [`retry`]: an entry's decisions when an attempt fails.
+//! - [`submissions`]: entries that wait before they send a request.
 
 pub mod admission;
 pub mod assembly;
@@ -17,6 +18,7 @@
 pub mod records;
 pub mod replay;
 pub mod retry;
+pub mod submissions;
 
 pub use crate::admission::AdmissionControl;
 pub use crate::assembly::Assembly;
@@ -38,3 +40,4 @@
 pub use crate::replay::ReplayBuffer;
 pub use crate::retry::RetryDecision;
 pub use crate::retry::RetryState;
+pub use crate::submissions::Submissions;
--- a/crates/request/src/outcome.rs
+++ b/crates/request/src/outcome.rs
@@ -34,6 +34,10 @@
     /// The agent refused the request.
     #[error("{0}")]
     Refused(Refusal),
+    /// The team's budget may cover the request, but the tokens are held elsewhere or no
+    /// keeper answers.
+    #[error("the team's tokens are not available now")]
+    TokensUnavailable,
 }
 
 /// The outcome of a request.
