gateway: a planned stop ends within the grace period, whatever it waits for

The process had logged event=drained and nothing after it; neither the thread that stops it nor its worker went on, so no timer of a task could bound the wait.

Cause: not found. Reading `stop`, `return_grants`, the requests to the leader and the node showed no loop without an end and no lock held across an await. Two steps had no bound of their own: the wait for the replica's thread, and returning grants, whose direct and forwarded requests could together take 0.7 s of the 0.5 s that are left after the drain.

Change: returning grants and stopping the replica end with the time that is left, and the replica's stop has a part of it kept.

--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -1,5 +1,6 @@
 //! A gateway process: startup, settings reload and shutdown.
 
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
@@ -9,6 +10,7 @@
 
 use async_io::Timer;
 use base::Span;
+use base::Time;
 use base::time::Clock;
 use consensus::Envelope;
 use fleet::FleetError;
@@ -17,6 +19,7 @@
 use fleet::TlsCredentials;
 use fleet::mesh::Member;
 use fleet::node::BoxFuture;
+use futures_lite::FutureExt as _;
 use host::Pool;
 use platform::settings::NodeSettings;
 use thiserror::Error;
@@ -46,6 +49,15 @@
 /// Time for sending the messages that transfer leadership before the transport closes.
 const LEADER_TRANSFER_WAIT: Duration = Duration::from_millis(120);
 
+/// Time kept for the replica's stop when returning grants takes long.
+const REPLICA_STOP_TIME: Span = Span::millis(200);
+
+/// Time for a planned stop that took all of its time to return and the process to exit.
+const RETURN_MARGIN: Duration = Duration::from_millis(70);
+
+/// Time for the worker to run a task when a stop has overrun.
+const WORKER_PROBE_TIME: Duration = Duration::from_millis(15);
+
 /// Time in which requests that were sent before the port closed still arrive: several
 /// one-way delays between callers and entries.
 const LATE_ARRIVAL_WAIT: Duration = Duration::from_millis(60);
@@ -199,7 +211,8 @@
     pub async fn stop(&self) {
         let shared = &self.shared;
         shared.begin_stop();
-        let deadline = shared.now() + shared.grace_period();
+        let begun = shared.now();
+        let deadline = begun + shared.grace_period();
         let earliest = shared.now() + frontend::SHUTDOWN_IDLE_TIMEOUT + Span::millis(600);
         loop {
             let now = shared.now();
@@ -216,18 +229,66 @@
         while shared.now() < deadline && shared.active_requests.load(Ordering::Relaxed) > 0 {
             Timer::after(Duration::from_millis(10)).await;
         }
-        budget::return_grants(shared).await;
-        if let Some(group) = &shared.group {
-            let (done, stopped) = async_channel::bounded(1);
-            group.send(Input::Stop(done));
-            // The channel is closed if the replica has already failed.
-            let _ = stopped.recv().await;
-            Timer::after(LEADER_TRANSFER_WAIT).await;
-        }
+        let end = begun + shared.stop_limit();
+        // The replica stops even if no leader answers.
+        let returning = budget::return_grants(shared);
+        before(
+            shared,
+            Time(end.0.saturating_sub(REPLICA_STOP_TIME.0)),
+            returning,
+        )
+        .await;
+        before(shared, end, stop_replica(shared)).await;
         if let Some(node) = shared.node.get() {
             node.close();
         }
     }
+
+    /// Returns the time after which a planned stop has overrun the grace period.
+    #[must_use]
+    pub fn stop_limit(&self) -> Duration {
+        Duration::from(self.shared.stop_limit()) + RETURN_MARGIN
+    }
+
+    /// Returns a function that logs what a planned stop may be waiting for.
+    pub fn overrun_report(&self) -> impl FnOnce() + Send + 'static + use<> {
+        let shared = Arc::clone(&self.shared);
+        move || {
+            let (sender, answer) = async_channel::bounded(1);
+            shared.pool.spawn(async move {
+                // The receiver is gone if the worker answers too late.
+                let _ = sender.try_send(());
+            });
+            std::thread::sleep(WORKER_PROBE_TIME);
+            log::error!(
+                "gateway: event=overrun busy={} drained={} state_locked={} worker_blocked={}",
+                shared.active_requests.load(Ordering::Relaxed),
+                shared.refuses_callers(),
+                shared.is_state_locked(),
+                answer.is_empty()
+            );
+        }
+    }
+}
+
+async fn stop_replica(shared: &ProcessContext) {
+    let Some(group) = &shared.group else {
+        return;
+    };
+    let (done, stopped) = async_channel::bounded(1);
+    group.send(Input::Stop(done));
+    // The channel is closed if the replica has already failed.
+    let _ = stopped.recv().await;
+    Timer::after(LEADER_TRANSFER_WAIT).await;
+}
+
+/// Runs a step of a planned stop until it ends or `limit` is reached.
+async fn before(shared: &ProcessContext, limit: Time, step: impl Future<Output = ()>) {
+    let expired = async {
+        Timer::after(shared.now().until(limit).into()).await;
+        log::warn!("gateway: event=stop outcome=late");
+    };
+    step.or(expired).await;
 }
 
 fn peer_service(shared: &Arc<ProcessContext>) -> Service {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,6 +7,7 @@
 use std::sync::MutexGuard;
 use std::sync::OnceLock;
 use std::sync::PoisonError;
+use std::sync::TryLockError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
@@ -53,6 +54,9 @@
 /// Time reserved between the end of all work and the end of the grace period.
 const STOP_MARGIN: Span = Span::millis(500);
 
+/// Part of [`STOP_MARGIN`] for the exit of the process.
+const EXIT_TIME: Span = Span::millis(150);
+
 /// Converts seconds of the settings to whole milliseconds.
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 fn seconds_to_ms(seconds: f64) -> u64 {
@@ -383,6 +387,18 @@
         Span(grace.0.saturating_sub(STOP_MARGIN.0))
     }
 
+    /// Returns the time from the request to stop by which a planned stop has to return.
+    #[must_use]
+    pub fn stop_limit(&self) -> Span {
+        Span(self.grace_period().0 + STOP_MARGIN.0 - EXIT_TIME.0)
+    }
+
+    /// Returns whether another thread holds the lock on the state.
+    #[must_use]
+    pub fn is_state_locked(&self) -> bool {
+        matches!(self.state.try_lock(), Err(TryLockError::WouldBlock))
+    }
+
     /// Returns the time of the request to stop, if there was one.
     #[must_use]
     pub fn stopped_at(&self) -> Option<Time> {
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`pool`]: the worker thread pool.
 //! - [`signals`]: signals to stop and to reload the settings.
 //! - [`stall`]: detection of streams that make no progress.
+//! - [`watchdog`]: a bound on the duration of a planned stop.
 
 pub mod health;
 pub mod http;
@@ -15,6 +16,7 @@
 pub mod pool;
 pub mod signals;
 pub mod stall;
+pub mod watchdog;
 
 pub use crate::health::Health;
 pub use crate::pool::Pool;
--- a/crates/mulberryd/src/main.rs
+++ b/crates/mulberryd/src/main.rs
@@ -66,6 +66,11 @@
             }
         }
         log::info!("gateway: event=stop name={name}");
+        if let Err(error) =
+            host::watchdog::exit_after(gateway.stop_limit(), gateway.overrun_report())
+        {
+            log::warn!("gateway: event=stop outcome=unbounded reason=\"{error}\"");
+        }
         gateway.stop().await;
     });
     log::info!("gateway: event=stopped name={name}");
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -110,6 +110,16 @@
         }
     }
 
+    /// Returns whether the process has exited with another status than success.
+    pub fn has_failed(&mut self) -> bool {
+        match &mut self.child {
+            Some(child) => child
+                .try_wait()
+                .is_ok_and(|status| status.is_some_and(|status| !status.success())),
+            None => false,
+        }
+    }
+
     /// Kills the process and waits for its exit.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -381,6 +381,10 @@
                 Recovery::Resume => self.processes[index].signal(Signal::CONT),
                 Recovery::Restart => self.start_process(index, false)?,
                 Recovery::RestartAfterExit if self.processes[index].has_exited() => {
+                    if self.processes[index].has_failed() {
+                        let text = format!("stop: process {index} overran its grace period");
+                        self.oracle.record_breach(text);
+                    }
                     self.start_process(index, false)?;
                 }
                 Recovery::RestartAfterExit if at.elapsed() > SETTLE_TIMEOUT => {
