entry: "not run" is proved in one place, for every reason

An entry whose claim, or its release, got no answer in time asked only whether others wait, and the one that ran the call had withdrawn by then.

Change: whatever the reason, a request with a key that an entry has not run is looked up after its submission is withdrawn, and joined if another entry's claim or record is found. Own claims and records are told apart by their nonces; an entry's name doesn't do, since a restarted entry has the same one.

--- a/crates/daemon/src/entry/execution.rs
+++ b/crates/daemon/src/entry/execution.rs
@@ -101,6 +101,8 @@
     pub(super) excluded_endpoints: Vec<EndpointId>,
     /// Nonces of records whose orders have ended, and of this request's own record.
     record_nonces: Vec<u64>,
+    /// Nonces of the records and claims that this entry has made for the request.
+    own_nonces: Vec<u64>,
     joins: u32,
     /// Whether the keepers know that this entry waits with the request.
     registered: bool,
@@ -123,7 +125,23 @@
     let mut retry_state = RetryState::new(job.deadline, job.repeatable);
     let mut assembly = Assembly::new(job.answer.request);
     let (outcome, final_event) = loop {
-        let result = run_attempt(&entry, &job, &mut state, &mut retry_state, &mut assembly).await;
+        let mut result =
+            run_attempt(&entry, &job, &mut state, &mut retry_state, &mut assembly).await;
+        if let AttemptResult::Finished(AnswerOutcome::Failed(CallerError::NotRun(reason)), _) =
+            &result
+            && job.answer.has_key
+        {
+            let reason = *reason;
+            result = prove_not_run(
+                &entry,
+                &job,
+                &mut state,
+                &mut retry_state,
+                &mut assembly,
+                reason,
+            )
+            .await;
+        }
         match result {
             AttemptResult::Finished(outcome, final_event) => break (outcome, final_event),
             AttemptResult::Retry => {
@@ -219,9 +237,7 @@
             state.excluded_endpoints.clear();
             return decide_retry(entry, retry_state, AttemptFailure::NotSent);
         }
-        Err(reason) => {
-            return resolve_unsent(entry, job, state, retry_state, assembly, reason).await;
-        }
+        Err(reason) => return finish_unsent(retry_state, reason),
     };
     let started_at = entry.context.clock.now();
     let result = run_at(entry, job, state, retry_state, assembly, &endpoint).await;
@@ -230,11 +246,21 @@
     result
 }
 
-/// Returns the result of a request that this entry can't send.
+/// Returns the result of a request that this entry can't send: not run, unless an earlier
+/// attempt may have run.
+fn finish_unsent(retry_state: &mut RetryState, reason: NotRun) -> AttemptResult {
+    match retry_state.on_failure(AttemptFailure::NotSent, false, Time(u64::MAX)) {
+        RetryDecision::Unknown => finish_unknown(),
+        _ => finish_not_run(reason),
+    }
+}
+
+/// Returns the result of a request with a caller's key that this entry has not run.
 ///
-/// A request with a caller's key may run through another entry. It is reported as not
-/// run only if that is ruled out.
-async fn resolve_unsent(
+/// It may run through another entry, or another one may send it later. It is reported as not
+/// run only if both are ruled out. An entry registers before it claims or records the
+/// request and withdraws afterwards, so submissions are read before claims and records.
+async fn prove_not_run(
     entry: &Entry,
     job: &Job,
     state: &mut AttemptState,
@@ -242,51 +268,29 @@
     assembly: &mut Assembly,
     reason: NotRun,
 ) -> AttemptResult {
-    if retry_state.on_failure(AttemptFailure::NotSent, false, Time(u64::MAX))
-        == RetryDecision::Unknown
-    {
-        return finish_unknown();
-    }
-    // An entry registers before it claims or records the request, so submissions are read
-    // before claims and records.
-    let refused = refuse(entry, job, state, reason).await;
-    if !job.answer.has_key || !state.record_nonces.is_empty() {
-        return refused;
-    }
-    if job.repeatable {
-        match records::find_record(entry, job.answer.request).await {
-            Some(Some(record)) => {
-                join_recorded(entry, job, state, retry_state, assembly, &record).await
-            }
-            Some(None) => refused,
-            None => finish_unknown(),
+    state.registered = false;
+    let request = job.answer.request;
+    let others_wait = submissions::withdraw(entry.clone(), request).await;
+    let looked_up = if job.repeatable {
+        let found = records::find_record(entry, request).await;
+        if let Some(Some(record)) = &found
+            && !state.own_nonces.contains(&record.nonce)
+        {
+            return join_recorded(entry, job, state, retry_state, assembly, record).await;
         }
+        found.map(|_| ())
     } else {
-        match at_most_once::find_claim(entry, job.answer.request).await {
-            Some(Some(claim)) => {
-                at_most_once::join_claim(entry, job, state, retry_state, assembly, claim).await
-            }
-            Some(None) => refused,
-            None => finish_unknown(),
+        let found = at_most_once::find_claim(entry, request).await;
+        if let Some(Some(claim)) = found
+            && !state.own_nonces.contains(&claim.nonce)
+        {
+            return at_most_once::join_claim(entry, job, state, retry_state, assembly, claim).await;
         }
-    }
-}
-
-/// Returns the result of a request for which this entry has sent nothing: "not run" only if
-/// no other entry waits with a request of the same key.
-async fn refuse(
-    entry: &Entry,
-    job: &Job,
-    state: &mut AttemptState,
-    reason: NotRun,
-) -> AttemptResult {
-    if !job.answer.has_key {
-        return finish_not_run(reason);
-    }
-    state.registered = false;
-    match submissions::withdraw(entry.clone(), job.answer.request).await {
-        Some(false) => finish_not_run(reason),
-        Some(true) | None => finish_unknown(),
+        found.map(|_| ())
+    };
+    match (others_wait, looked_up) {
+        (Some(false), Some(())) => finish_not_run(reason),
+        _ => finish_unknown(),
     }
 }
 
@@ -314,9 +318,7 @@
 ) -> AttemptResult {
     let reservation = match reserve_tokens(entry, job, state).await {
         Ok(reservation) => reservation,
-        Err(reason) => {
-            return resolve_unsent(entry, job, state, retry_state, assembly, reason).await;
-        }
+        Err(reason) => return finish_unsent(retry_state, reason),
     };
     state.reservation = Some(reservation);
     if job.repeatable {
@@ -432,6 +434,7 @@
     };
     // One keeper may store the record although another one has an earlier order's.
     state.record_nonces.push(record.nonce);
+    state.own_nonces.push(record.nonce);
     if let Some(earlier) = records::insert_record(entry, record, &state.record_nonces).await {
         return join_recorded(entry, job, state, retry_state, assembly, &earlier).await;
     }
--- a/crates/daemon/src/entry/execution/at_most_once.rs
+++ b/crates/daemon/src/entry/execution/at_most_once.rs
@@ -21,8 +21,8 @@
 use super::KEEPER_TIMEOUT;
 use super::MAX_JOINS;
 use super::attach;
+use super::finish_not_run;
 use super::finish_unknown;
-use super::refuse;
 use super::release_reservation;
 use super::send_order;
 use super::submissions;
@@ -45,6 +45,7 @@
         agent: endpoint.agent,
         nonce: fastrand::u64(1..),
     };
+    state.own_nonces.push(claim.nonce);
     match acquire_claim(entry, claim).await {
         Some(ClaimResult::Granted) => {}
         Some(ClaimResult::BodyMismatch) => {
@@ -54,7 +55,7 @@
             return join_claim(entry, job, state, retry_state, assembly, earlier).await;
         }
         // Nothing has been sent, and without the claim this entry will send nothing.
-        None => return refuse(entry, job, state, NotRun::NoQuorum).await,
+        None => return finish_not_run(NotRun::NoQuorum),
     }
     let result = send_order(entry, job, state, retry_state, assembly, endpoint).await;
     let unsent = matches!(
@@ -64,7 +65,7 @@
     );
     if unsent && !release_claim(entry, claim).await {
         // The claim may still be held and would block another attempt.
-        return refuse(entry, job, state, NotRun::NoQuorum).await;
+        return finish_not_run(NotRun::NoQuorum);
     }
     result
 }
@@ -118,7 +119,7 @@
             if release_claim(entry, claim).await {
                 AttemptResult::Retry
             } else {
-                refuse(entry, job, state, NotRun::NoQuorum).await
+                finish_not_run(NotRun::NoQuorum)
             }
         }
         _ => finish_unknown(),
