gateway: only the replica that is meant answers for its marks

Tokens that were spent became unallocated again. A mark could likewise be recorded on the new disk and count as recorded by the lost one.

Cause: `Mark` and `Fence` named no replica; the process at the address answered.

Change: both name the replica, and a process with another disk, or none, answers `Unavailable`. A lease that is closed counts at least what its entry had reported as spent, whatever its witnesses answer.

--- a/crates/fleet/src/mesh.rs
+++ b/crates/fleet/src/mesh.rs
@@ -97,12 +97,14 @@
     Draw(Lease, Vec<Demand>),
     /// Asks a peer to lend tokens of these teams.
     Lend(Vec<(String, u64)>),
-    /// Asks a replica to store how much of its grants the sender has opened.
-    Mark(HighWaterMark),
+    /// Asks this replica, and no other disk at its address, to store how much of its grants
+    /// the sender has opened.
+    Mark(KeeperId, HighWaterMark),
     /// Asks the receiver to pass a mark to any of these replicas that it can reach.
     MarkVia(Vec<KeeperId>, HighWaterMark),
-    /// Asks a replica to reject further marks of a lease.
-    Fence(u64),
+    /// Asks this replica, and no other disk at its address, to reject further marks of a
+    /// lease.
+    Fence(KeeperId, u64),
     /// A request to the leader, for the receiver to pass on.
     Forward(Box<MeshRequest>),
     /// Tells a peer of engines that crashed and of prompt segments that are blocked.
--- a/crates/gateway/src/leader_requests.rs
+++ b/crates/gateway/src/leader_requests.rs
@@ -61,9 +61,9 @@
         | MeshRequest::Replica(_)
         | MeshRequest::CurrentConfig
         | MeshRequest::Lend(_)
-        | MeshRequest::Mark(_)
+        | MeshRequest::Mark(..)
         | MeshRequest::MarkVia(..)
-        | MeshRequest::Fence(_)
+        | MeshRequest::Fence(..)
         | MeshRequest::CrashNews(_)
         | MeshRequest::Forward(_) => return MeshResponse::Unavailable,
     };
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -111,11 +111,17 @@
             MeshResponse::Done
         }
         MeshRequest::Lend(requests) => budget::lend_tokens(&shared, requests).await,
-        MeshRequest::Mark(mark) => witness::record_mark(&shared, mark).await,
+        // A new disk at the address of a lost one knows nothing of what that one recorded.
+        MeshRequest::Mark(replica, _) | MeshRequest::Fence(replica, _)
+            if shared.own_member.keeper != Some(replica) =>
+        {
+            MeshResponse::Unavailable
+        }
+        MeshRequest::Mark(_, mark) => witness::record_mark(&shared, mark).await,
         MeshRequest::MarkVia(replicas, mark) => {
             witness::forward_mark(&shared, &replicas, mark).await
         }
-        MeshRequest::Fence(lease) => witness::fence_lease(&shared, lease).await,
+        MeshRequest::Fence(_, lease) => witness::fence_lease(&shared, lease).await,
         MeshRequest::Forward(request) => match *request {
             // A request is forwarded only once. The sender can't reach the leader, but
             // this process may.
--- a/crates/gateway/src/settlement.rs
+++ b/crates/gateway/src/settlement.rs
@@ -128,7 +128,13 @@
                 .is_some_and(|at| at.until(now) < REACHABLE_TIMEOUT);
             heard.then_some(found.member.address)?
         };
-        request_peer(shared, address, MeshRequest::Fence(lease), FENCE_TIMEOUT).await?
+        request_peer(
+            shared,
+            address,
+            MeshRequest::Fence(id, lease),
+            FENCE_TIMEOUT,
+        )
+        .await?
     };
     match answer {
         MeshResponse::Opened(opened) => Some(opened),
--- a/crates/gateway/src/witness.rs
+++ b/crates/gateway/src/witness.rs
@@ -123,7 +123,7 @@
         let answer = if shared.own_member.keeper == Some(replica) {
             record_mark(shared, mark.clone()).await
         } else if let Some(address) = reachable_replica(shared, replica) {
-            let request = MeshRequest::Mark(mark.clone());
+            let request = MeshRequest::Mark(replica, mark.clone());
             let answer = request_peer(shared, address, request, MARK_TIMEOUT).await;
             answer.unwrap_or(MeshResponse::Unavailable)
         } else {
@@ -219,7 +219,7 @@
     mark: HighWaterMark,
 ) -> MarkOutcome {
     let (request, address) = match target {
-        Target::Replica(_, address) => (MeshRequest::Mark(mark), address),
+        Target::Replica(replica, address) => (MeshRequest::Mark(replica, mark), address),
         Target::Forwarder(replica, address) => (MeshRequest::MarkVia(vec![replica], mark), address),
     };
     let answer = request_peer(shared, address, request, MARK_TIMEOUT).await;
--- a/crates/ledger/src/allowance.rs
+++ b/crates/ledger/src/allowance.rs
@@ -255,7 +255,8 @@
     }
 
     /// Closes a lease. `limits` bounds what its entry can have spent of each team's
-    /// grants; without it, all of them count as spent.
+    /// grants; without it, all of them count as spent. What the entry reported as spent
+    /// counts in any case.
     ///
     /// Returns, for each team, the tokens that now count as spent beyond what the entry had
     /// reported; teams without any are left out.
@@ -279,7 +280,7 @@
                 let found = list.iter().find(|(name, _)| name == team);
                 found.map_or(0, |&(_, limit)| limit)
             });
-            let spent = bound.map_or(max_spent, |bound| bound.min(max_spent));
+            let spent = bound.map_or(max_spent, |bound| bound.max(grant.spent).min(max_spent));
             account.settled += spent;
             if spent > grant.spent {
                 unproven.push((team.clone(), spent - grant.spent));
--- a/crates/ledger/tests/grants.rs
+++ b/crates/ledger/tests/grants.rs
@@ -1075,3 +1075,32 @@
     }
     assert!(served * 4 >= asked, "{served} of {asked} served");
 }
+
+/// A witness that lost its records may answer with a lower limit than the entry has reported
+/// as spent.
+#[test]
+fn a_closed_lease_counts_at_least_what_its_entry_reported() {
+    for (limit, settled) in [(0, 40), (40, 40), (70, 70), (500, 100)] {
+        let mut allowances = Allowances::default();
+        allowances.set_total(TEAM, 1_000);
+        let lease = Lease {
+            id: 1,
+            ..Lease::default()
+        };
+        let mut demand = Demand {
+            team: TEAM.to_owned(),
+            target: 0,
+            required: 100,
+            returned: 0,
+            spent: 0,
+            charged: 0,
+        };
+        allowances.draw(&lease, &[demand.clone()], 0).unwrap();
+        demand.spent = 40;
+        allowances.draw(&lease, &[demand], 1).unwrap();
+        assert_eq!(allowances.allocated(TEAM), 100);
+        allowances.close(1, Some(&[(TEAM.to_owned(), limit)]), 2);
+        assert_eq!(allowances.allocated(TEAM), settled, "limit {limit}");
+        assert_eq!(allowances.unallocated(TEAM), 1_000 - settled);
+    }
+}
