budget: a loan that comes late is used

What could happen (from the review's list): a loan whose answer took longer than 120 ms was spent at the lender and used by nobody, because the borrower dropped the request after this time.

Cause: the time after which the next peer is asked was also the end of the request.

Change: the request goes on by itself and its answer is applied whenever it comes, until the transport has ended the connection (5 s), if the lease is still the same. The borrower asks the next peer after 120 ms as before. The lender takes nothing back: an answer that it has sent may arrive. Log lines say `used=false` for a loan that came for an ended lease.

What stays: a loan whose answer is lost with its connection, or whose borrower ends, counts as spent at the lender; no message would prove otherwise.

Test: `a_loan_that_comes_late_is_used` failed before (the lender answers after 400 ms).

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -37,8 +37,12 @@
 /// Maximum wait of a lender for the mark that opens tokens for a loan.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(40);
 
-/// Maximum wait for a loan: several round trips between failure domains.
-const LOAN_TIMEOUT: Span = Span::millis(120);
+/// Time after which the next peer is asked for a loan: several round trips between failure
+/// domains.
+const LOAN_TIMEOUT: Duration = Duration::from_millis(120);
+
+/// Time after which the transport has ended a connection on which a loan may still come.
+const LOAN_ANSWER_TIMEOUT: Span = Span::millis(5_000);
 
 /// Maximum wait for the ledger to accept returned grants at a planned stop.
 const RETURN_TIMEOUT: Span = Span::millis(300);
@@ -201,7 +205,7 @@
 }
 
 /// Borrows from one peer; returns false if nothing is needed.
-async fn borrow_from(shared: &ProcessContext, address: SocketAddr) -> bool {
+async fn borrow_from(shared: &Arc<ProcessContext>, address: SocketAddr) -> bool {
     let now = shared.now();
     let (lease, requests) = {
         let mut state = shared.state();
@@ -214,25 +218,51 @@
     if requests.is_empty() {
         return false;
     }
+    let (pending, taken) = async_channel::bounded::<()>(1);
+    let task = take_loan(Arc::clone(shared), address, lease, requests);
+    shared.pool.spawn(async move {
+        task.await;
+        drop(pending);
+    });
+    // The next peer is asked after a while; the loan is taken whenever it comes.
+    let answered = async {
+        let _ = taken.recv().await;
+    };
+    let expired = async {
+        Timer::after(LOAN_TIMEOUT).await;
+    };
+    answered.or(expired).await;
+    true
+}
+
+/// Requests a loan and adds it to the grants, unless the lease has ended: what is lent counts
+/// as spent at the lender.
+async fn take_loan(
+    shared: Arc<ProcessContext>,
+    address: SocketAddr,
+    lease: u64,
+    requests: Vec<(String, u64)>,
+) {
     let teams = requests.len();
-    // If the response is lost, the loan still counts as spent at the lender.
+    let request = MeshRequest::Lend(requests);
     let Some(MeshResponse::Lent(lent)) =
-        request_peer(shared, address, MeshRequest::Lend(requests), LOAN_TIMEOUT).await
+        request_peer(&shared, address, request, LOAN_ANSWER_TIMEOUT).await
     else {
-        return true;
+        return;
     };
     let sum: u64 = lent.iter().map(|(_, loan)| loan).sum();
-    if sum > 0 {
-        let mut state = shared.state();
-        if state.grants.lease_id() == lease {
-            for (team, loan) in &lent {
-                state.grants.receive_loan(team, *loan);
-            }
+    if sum == 0 {
+        return;
+    }
+    let mut state = shared.state();
+    let used = state.grants.lease_id() == lease;
+    if used {
+        for (team, loan) in &lent {
+            state.grants.receive_loan(team, *loan);
         }
-        drop(state);
-        shared.grants_changed.notify(usize::MAX);
-        shared.grants_needed.notify(usize::MAX);
-        log::info!("budget: event=borrowed from={address} teams={teams} tokens={sum}");
     }
-    true
+    drop(state);
+    shared.grants_changed.notify(usize::MAX);
+    shared.grants_needed.notify(usize::MAX);
+    log::info!("budget: event=borrowed from={address} teams={teams} tokens={sum} used={used}");
 }
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -1,20 +1,32 @@
-//! Answers of peers from another disk than the one that is meant.
+//! Answers of peers that come late, or from another disk than the one that is meant.
 
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
 
+use async_io::Timer;
 use base::KeeperId;
 use base::time::Clock;
+use fleet::Node;
+use fleet::PeerRequest;
+use fleet::PeerResponse;
+use fleet::Service;
+use fleet::TlsCredentials;
 use fleet::mesh::Member;
 use fleet::mesh::MeshRequest;
 use fleet::mesh::MeshResponse;
+use fleet::node::BoxFuture;
 use futures_lite::future::block_on;
+use gateway::budget;
 use gateway::group::Group;
 use gateway::group::GroupOptions;
 use gateway::mesh;
+use gateway::state::Peer;
 use gateway::state::ProcessContext;
 use host::Pool;
 use ledger::allowance::HighWaterMark;
@@ -22,6 +34,9 @@
 use platform::test_support;
 use platform::test_support::NodeConfig;
 
+/// Maximum polls of a wait, far more than it needs.
+const MAX_POLLS: u32 = 200;
+
 fn loopback() -> SocketAddr {
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
 }
@@ -102,3 +117,68 @@
     assert_eq!(ask(MeshRequest::Fence(own, 7)), opened);
     std::fs::remove_dir_all(folder).expect("the folder");
 }
+
+/// A loan counts as spent at the lender once it is given, so the borrower must use it
+/// however late the answer is.
+#[test]
+fn a_loan_that_comes_late_is_used() {
+    let pool = Pool::start(2);
+    let credentials = TlsCredentials::ephemeral().expect("credentials");
+    let loans = Arc::new(AtomicUsize::new(0));
+    let serve = |on_request| Service {
+        on_request,
+        on_stream: Arc::new(|_, _| Box::pin(std::future::ready(())) as BoxFuture<()>),
+    };
+    let counted = Arc::clone(&loans);
+    let lend = Arc::new(move |_, request| {
+        let first = counted.fetch_add(1, Ordering::Relaxed) == 0;
+        Box::pin(async move {
+            let PeerRequest::Mesh(MeshRequest::Lend(teams)) = request else {
+                return PeerResponse::Unsupported;
+            };
+            Timer::after(Duration::from_millis(400)).await;
+            // Only the first request gets a loan.
+            let lent = if first { teams } else { Vec::new() };
+            PeerResponse::Mesh(MeshResponse::Lent(lent))
+        }) as BoxFuture<PeerResponse>
+    });
+    let bind = |service| Node::bind(&pool, loopback(), &credentials, service, 16).expect("bound");
+    let lender = bind(serve(lend));
+    let borrower = bind(serve(Arc::new(|_, _| {
+        Box::pin(std::future::ready(PeerResponse::Unsupported)) as BoxFuture<PeerResponse>
+    })));
+    let shared = process(&pool, borrower.address(), None);
+    assert!(shared.node.set(borrower).is_ok());
+    let now = shared.now();
+    {
+        let mut state = shared.state();
+        state.ledger_reachable = false;
+        assert!(state.grants.charge("team", 50, now).is_err());
+        assert_eq!(state.grants.loan_requests(true, now).len(), 1);
+    }
+    pool.spawn(budget::borrow_tokens(Arc::clone(&shared)));
+    let mut lacks_tokens = true;
+    for _ in 0..MAX_POLLS {
+        block_on(Timer::after(Duration::from_millis(20)));
+        let now = shared.now();
+        let peer = Peer {
+            member: member(lender.address(), None),
+            last_heard: now,
+            last_direct: Some(now),
+            config_version: 0,
+            serving: true,
+            lease_id: 1,
+            pending_announcements: Vec::new(),
+            fully_synced: false,
+            update_sent: None,
+        };
+        let mut state = shared.state();
+        state.peers.insert(lender.address(), peer);
+        lacks_tokens = !state.grants.loan_requests(true, now).is_empty();
+        if !lacks_tokens {
+            break;
+        }
+    }
+    assert!(loans.load(Ordering::Relaxed) > 0);
+    assert!(!lacks_tokens, "the loan is not used");
+}
