--- a/crates/daemon/src/entry/execution.rs
+++ b/crates/daemon/src/entry/execution.rs
@@ -43,6 +43,7 @@
 
 mod at_most_once;
 mod records;
+pub(super) mod submissions;
 
 /// Maximum time to wait for a keeper or agent while a request runs.
 const KEEPER_TIMEOUT: Span = Span::millis(600);
@@ -96,11 +97,15 @@
 
 /// The state that one attempt passes to the next.
 #[derive(Default)]
-struct AttemptState {
-    excluded_endpoints: Vec<EndpointId>,
+pub(super) struct AttemptState {
+    pub(super) excluded_endpoints: Vec<EndpointId>,
     /// Nonces of records whose orders have ended, and of this request's own record.
     record_nonces: Vec<u64>,
+    /// Nonces of the records and claims that this entry has made for the request.
+    own_nonces: Vec<u64>,
     joins: u32,
+    /// Whether the keepers know that this entry waits with the request.
+    registered: bool,
     prompt_tokens: Tokens,
     reservation: Option<Reservation>,
 }
@@ -120,7 +125,23 @@
     let mut retry_state = RetryState::new(job.deadline, job.repeatable);
     let mut assembly = Assembly::new(job.answer.request);
     let (outcome, final_event) = loop {
-        let result = run_attempt(&entry, &job, &mut state, &mut retry_state, &mut assembly).await;
+        let mut result =
+            run_attempt(&entry, &job, &mut state, &mut retry_state, &mut assembly).await;
+        if let AttemptResult::Finished(AnswerOutcome::Failed(CallerError::NotRun(reason)), _) =
+            &result
+            && job.answer.has_key
+        {
+            let reason = *reason;
+            result = prove_not_run(
+                &entry,
+                &job,
+                &mut state,
+                &mut retry_state,
+                &mut assembly,
+                reason,
+            )
+            .await;
+        }
         match result {
             AttemptResult::Finished(outcome, final_event) => break (outcome, final_event),
             AttemptResult::Retry => {
@@ -128,6 +149,12 @@
             }
         }
     };
+    if state.registered {
+        let task = submissions::withdraw(entry.clone(), job.answer.request);
+        entry.context.pool.spawn(async move {
+            task.await;
+        });
+    }
     let single_attempt = retry_state.attempt() == 1;
     settle_reservation(
         &entry,
@@ -203,16 +230,14 @@
     retry_state: &mut RetryState,
     assembly: &mut Assembly,
 ) -> AttemptResult {
-    let endpoint = match admission::acquire_endpoint(entry, job, &state.excluded_endpoints).await {
+    let endpoint = match admission::acquire_endpoint(entry, job, state).await {
         Ok(endpoint) => endpoint,
         Err(NotRun::NoEndpoint) if !state.excluded_endpoints.is_empty() => {
             // Every endpoint has been tried; the first may have recovered.
             state.excluded_endpoints.clear();
             return decide_retry(entry, retry_state, AttemptFailure::NotSent);
         }
-        Err(reason) => {
-            return resolve_unsent(entry, job, state, retry_state, assembly, reason).await;
-        }
+        Err(reason) => return finish_unsent(retry_state, reason),
     };
     let started_at = entry.context.clock.now();
     let result = run_at(entry, job, state, retry_state, assembly, &endpoint).await;
@@ -221,11 +246,21 @@
     result
 }
 
-/// Returns the result of a request that this entry can't send.
+/// Returns the result of a request that this entry can't send: not run, unless an earlier
+/// attempt may have run.
+fn finish_unsent(retry_state: &mut RetryState, reason: NotRun) -> AttemptResult {
+    match retry_state.on_failure(AttemptFailure::NotSent, false, Time(u64::MAX)) {
+        RetryDecision::Unknown => finish_unknown(),
+        _ => finish_not_run(reason),
+    }
+}
+
+/// Returns the result of a request with a caller's key that this entry has not run.
 ///
-/// A request with a caller's key may run through another entry. It is reported as not
-/// run only if that is ruled out.
-async fn resolve_unsent(
+/// It may run through another entry, or another one may send it later. It is reported as not
+/// run only if both are ruled out. An entry registers before it claims or records the
+/// request and withdraws afterwards, so submissions are read before claims and records.
+async fn prove_not_run(
     entry: &Entry,
     job: &Job,
     state: &mut AttemptState,
@@ -233,30 +268,29 @@
     assembly: &mut Assembly,
     reason: NotRun,
 ) -> AttemptResult {
-    if retry_state.on_failure(AttemptFailure::NotSent, false, Time(u64::MAX))
-        == RetryDecision::Unknown
-    {
-        return finish_unknown();
-    }
-    if !job.answer.has_key || !state.record_nonces.is_empty() {
-        return finish_not_run(reason);
-    }
-    if job.repeatable {
-        match records::find_record(entry, job.answer.request).await {
-            Some(Some(record)) => {
-                join_recorded(entry, job, state, retry_state, assembly, &record).await
-            }
-            Some(None) => finish_not_run(reason),
-            None => finish_unknown(),
+    state.registered = false;
+    let request = job.answer.request;
+    let others_wait = submissions::withdraw(entry.clone(), request).await;
+    let looked_up = if job.repeatable {
+        let found = records::find_record(entry, request).await;
+        if let Some(Some(record)) = &found
+            && !state.own_nonces.contains(&record.nonce)
+        {
+            return join_recorded(entry, job, state, retry_state, assembly, record).await;
         }
+        found.map(|_| ())
     } else {
-        match at_most_once::find_claim(entry, job.answer.request).await {
-            Some(Some(claim)) => {
-                at_most_once::join_claim(entry, job, state, retry_state, assembly, claim).await
-            }
-            Some(None) => finish_not_run(reason),
-            None => finish_unknown(),
+        let found = at_most_once::find_claim(entry, request).await;
+        if let Some(Some(claim)) = found
+            && !state.own_nonces.contains(&claim.nonce)
+        {
+            return at_most_once::join_claim(entry, job, state, retry_state, assembly, claim).await;
         }
+        found.map(|_| ())
+    };
+    match (others_wait, looked_up) {
+        (Some(false), Some(())) => finish_not_run(reason),
+        _ => finish_unknown(),
     }
 }
 
@@ -284,9 +318,7 @@
 ) -> AttemptResult {
     let reservation = match reserve_tokens(entry, job, state).await {
         Ok(reservation) => reservation,
-        Err(reason) => {
-            return resolve_unsent(entry, job, state, retry_state, assembly, reason).await;
-        }
+        Err(reason) => return finish_unsent(retry_state, reason),
     };
     state.reservation = Some(reservation);
     if job.repeatable {
@@ -315,12 +347,13 @@
     let prompt_count = job.prompt_count.min(job.prompt_bound);
     let amount = prompt_count.saturating_add(job.max_tokens);
     state.prompt_tokens = prompt_count;
+    submissions::register(entry, job, state).await;
     let started_at = entry.context.clock.now();
     loop {
         if let Ok(reservation) = reserve(amount) {
             return Ok(reservation);
         }
-        let exhausted = budget::acquire_tokens(entry, team, amount).await;
+        let unmet = budget::acquire_tokens(entry, team, amount).await;
         let error = match reserve(amount) {
             Ok(reservation) => return Ok(reservation),
             Err(error) => error,
@@ -328,10 +361,14 @@
         // Another request may have reserved the new tokens, so more are acquired.
         let waited = entry.context.clock.now().since(started_at);
         match error {
-            ReserveError::InsufficientTokens if exhausted => return Err(NotRun::BudgetExceeded),
-            ReserveError::InsufficientTokens if waited >= BUDGET_TIMEOUT => {
+            ReserveError::InsufficientTokens
+                if unmet && budget::is_exhausted(entry, team, amount).await =>
+            {
                 return Err(NotRun::BudgetExceeded);
             }
+            ReserveError::InsufficientTokens if waited >= BUDGET_TIMEOUT => {
+                return Err(NotRun::TokensUnavailable);
+            }
             ReserveError::NoLease if waited >= BUDGET_TIMEOUT => return Err(NotRun::NoLease),
             ReserveError::InsufficientTokens | ReserveError::NoLease => {}
         }
@@ -397,6 +434,7 @@
     };
     // One keeper may store the record although another one has an earlier order's.
     state.record_nonces.push(record.nonce);
+    state.own_nonces.push(record.nonce);
     if let Some(earlier) = records::insert_record(entry, record, &state.record_nonces).await {
         return join_recorded(entry, job, state, retry_state, assembly, &earlier).await;
     }
--- a/crates/daemon/src/entry/execution/at_most_once.rs
+++ b/crates/daemon/src/entry/execution/at_most_once.rs
@@ -25,6 +25,7 @@
 use super::finish_unknown;
 use super::release_reservation;
 use super::send_order;
+use super::submissions;
 
 /// Claims a call that may run at most once, and sends it.
 pub(super) async fn run_claimed(
@@ -35,6 +36,8 @@
     assembly: &mut Assembly,
     endpoint: &ChosenEndpoint,
 ) -> AttemptResult {
+    // Another entry that gives up must know of this call before the claim is committed.
+    submissions::register(entry, job, state).await;
     let claim = Claim {
         request: job.answer.request,
         digest: job.answer.digest,
@@ -42,6 +45,7 @@
         agent: endpoint.agent,
         nonce: fastrand::u64(1..),
     };
+    state.own_nonces.push(claim.nonce);
     match acquire_claim(entry, claim).await {
         Some(ClaimResult::Granted) => {}
         Some(ClaimResult::BodyMismatch) => {
@@ -50,7 +54,7 @@
         Some(ClaimResult::Conflict(earlier)) => {
             return join_claim(entry, job, state, retry_state, assembly, earlier).await;
         }
-        // Nothing has been sent, and without the claim nothing will be.
+        // Nothing has been sent, and without the claim this entry will send nothing.
         None => return finish_not_run(NotRun::NoQuorum),
     }
     let result = send_order(entry, job, state, retry_state, assembly, endpoint).await;
@@ -60,8 +64,7 @@
             | AttemptResult::Finished(AnswerOutcome::Failed(CallerError::NotRun(_)), _)
     );
     if unsent && !release_claim(entry, claim).await {
-        // The claim may still be held and would block another attempt. The call has not
-        // run, so that is what is reported.
+        // The claim may still be held and would block another attempt.
         return finish_not_run(NotRun::NoQuorum);
     }
     result
