routing: one state an engine says whether, why and until when it takes requests

What callers saw: nothing yet. Backoff was in the pool, phase, silence and address reuse in the gateway's state, and no place could hold an engine that asked for a pause: an engine that missed announcements lost its record in the pool, and one that leaves could be made ready again by its own announcements two minutes after the directory last took one from it.

Change: `routing::availability` has the state of a run and the one question, `at(now)`; placement asks it for each request, and the gateway once more after it has opened a new connection. The directory says why a run is excluded (leaving, draining, ended, superseded, silent), records that an answer said that the engine leaves, and remembers a run that leaves for as long as it announces itself. Excluded engines stay in the pool without load and cache, so that a pause outlives missed announcements. If all engines asked for a pause, placement fails with the time until the first one ends, and the caller is refused at once with that, a third of its time left at most.

Ruled out: a table of engines beside the pool (two places to ask); a new phase on the wire (processes of an earlier build could not decode it).

--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -3,6 +3,7 @@
 //!
 //! Its inputs are a request and its caller's connection.
 //!
+//! - [`availability`]: whether an engine may still be sent a request.
 //! - [`cancellation`]: cancels a request at its engine.
 //! - [`charging`]: charges a request to its team's budget.
 //! - [`crashes`]: requests whose engine crashed.
@@ -10,6 +11,7 @@
 //! - [`rejection`]: the causes for which the gateway rejects a request.
 //! - [`response`]: an engine's response, buffered or streamed to the caller.
 
+mod availability;
 mod cancellation;
 mod charging;
 mod crashes;
@@ -186,9 +188,7 @@
         .timeout_ms
         .unwrap_or(1_000)
         .saturating_sub(elapsed_ms);
-    let retry_after_ms = cause
-        .capacity_wait_ms()
-        .map(|wait_ms| admission::retry_after_ms(wait_ms, remaining_ms));
+    let retry_after_ms = cause.retry_after_ms(remaining_ms);
     // Closing the connection makes the caller send its next request to another process.
     let close = request.close || cause == RejectionCause::NoWitness;
     let id = request.metadata.id.as_deref();
@@ -447,7 +447,8 @@
             return Ok(self.write_response(&head, &body, caller).await);
         }
         if self.execution_count == 0 {
-            return Err(RejectionCause::NotRun);
+            let paused = self.pause_left_ms().map(RejectionCause::EnginesPaused);
+            return Err(paused.unwrap_or(RejectionCause::NotRun));
         }
         if self.remaining() == Span(0) {
             return Err(RejectionCause::DeadlineExceeded { sent: true });
@@ -475,10 +476,18 @@
             .engine_pools
             .get_mut(self.service)
             .ok_or(RejectionCause::NoEngine)?;
-        let choice = pool.choose(&placement, now).map_err(|error| match error {
-            PlacementError::NoEngine => RejectionCause::NoEngine,
-            PlacementError::Overloaded(wait_ms) => RejectionCause::Overloaded(wait_ms),
-        })?;
+        let choice = match pool.choose(&placement, now) {
+            Ok(choice) => choice,
+            Err(PlacementError::Overloaded(ms)) => return Err(RejectionCause::Overloaded(ms)),
+            Err(PlacementError::NoEngine) => {
+                self.log_no_engine(state);
+                return Err(RejectionCause::NoEngine);
+            }
+            Err(PlacementError::Paused(left)) => {
+                self.log_no_engine(state);
+                return Err(RejectionCause::EnginesPaused(left.as_millis()));
+            }
+        };
         pool.record_dispatch(&choice, &metadata.segments, now);
         if choice.load.prefill_tokens > 0 && !metadata.segments.is_empty() {
             state.sent_prompts.push(fleet::mesh::SentPrompt {
@@ -516,6 +525,10 @@
                 )
                 .await
                 {
+                    // What was learned of the engine while connecting counts.
+                    Ok(_) if !self.accepts_request(choice.engine, engine) => {
+                        return AttemptOutcome::Unreachable;
+                    }
                     Ok(conn) => conn,
                     Err(error) => {
                         self.record_unreachable(choice.engine, engine, &error);
--- a/crates/gateway/src/forwarding/rejection.rs
+++ b/crates/gateway/src/forwarding/rejection.rs
@@ -2,6 +2,7 @@
 //! messages.
 
 use ledger::grants::ChargeError;
+use routing::admission;
 
 /// Why the gateway rejects a request; the variant's name is logged as `cause`.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -25,6 +26,8 @@
     BlockedSegment(u64),
     /// No engine is available.
     NoEngine,
+    /// All engines asked for a pause; the first one ends after this time, in milliseconds.
+    EnginesPaused(u64),
     /// No engine executed the request.
     NotRun,
     /// The process shuts down and may end before the request's deadline.
@@ -51,6 +54,7 @@
             | Self::BlockedSegment(_)
             | Self::Overloaded(_)
             | Self::NoEngine
+            | Self::EnginesPaused(_)
             | Self::NotRun
             | Self::Stopping
             | Self::DeadlineExceeded { sent: false } => 503,
@@ -76,6 +80,7 @@
                 "endpoints crash on a part of this prompt; the request did not run\n"
             }
             Self::NoEngine => "no endpoint is available; the request did not run\n",
+            Self::EnginesPaused(_) => "all endpoints want a pause; the request did not run\n",
             Self::NotRun => "the endpoints had no room; the request did not run\n",
             Self::Stopping => "this process stops; the request did not run\n",
             Self::Unknown => "the endpoint failed; whether the request ran is unknown\n",
@@ -86,9 +91,18 @@
         }
     }
 
-    /// Returns the expected wait for capacity, in milliseconds; `None` if the response
-    /// states no retry delay.
-    pub fn capacity_wait_ms(self) -> Option<f64> {
+    /// Returns the retry delay to state, in milliseconds, if the caller has `remaining_ms`
+    /// left; `None` if the response states none.
+    pub fn retry_after_ms(self, remaining_ms: u64) -> Option<u64> {
+        if let Self::EnginesPaused(ms) = self {
+            return Some(admission::pause_retry_after_ms(ms, remaining_ms));
+        }
+        let wait_ms = self.capacity_wait_ms()?;
+        Some(admission::retry_after_ms(wait_ms, remaining_ms))
+    }
+
+    /// Returns the expected wait for capacity, in milliseconds.
+    fn capacity_wait_ms(self) -> Option<f64> {
         match self {
             Self::Overloaded(ms) => Some(ms),
             Self::Unconfigured | Self::NoEngine | Self::GrantUnavailable(_) => Some(400.0),
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -471,6 +471,9 @@
     state.connections.remove_expired(now);
     state.directory.expire(now);
     state.update_engine_pools(&shared.settings, now);
+    let pools = state.engine_pools.values();
+    let engines = pools.flat_map(|pool| pool.availabilities(now));
+    shared.metrics.record_engines(engines);
     let gone: Vec<SocketAddr> = state
         .peers
         .iter()
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -4,6 +4,7 @@
 use host::metrics::IntGauge;
 use host::metrics::Latency;
 use host::metrics::Metrics;
+use routing::Availability;
 
 /// The metrics of a gateway.
 #[derive(Clone, Debug)]
@@ -17,6 +18,8 @@
     requests_left: IntCounter,
     first_latency: Latency,
     total_latency: Latency,
+    /// The engines by the label of their state.
+    engines: Vec<(&'static str, IntGauge)>,
     /// The version of the configuration in force.
     pub config_version: IntGauge,
 }
@@ -36,6 +39,13 @@
             first_latency: metrics
                 .latency_histogram("request_first_seconds", "Time to the first event"),
             total_latency: metrics.latency_histogram("request_seconds", "Time to the whole answer"),
+            engines: Availability::LABELS
+                .iter()
+                .map(|label| {
+                    let help = format!("Engines in the state {label}");
+                    (*label, metrics.gauge(&format!("engines_{label}"), &help))
+                })
+                .collect(),
             config_version: metrics.gauge("config_version", "The configuration in force"),
             registry: metrics.clone(),
         }
@@ -68,6 +78,15 @@
         self.requests_left.inc();
     }
 
+    /// Records whether each engine takes new requests.
+    pub fn record_engines(&self, engines: impl Iterator<Item = Availability>) {
+        let labels: Vec<&str> = engines.map(Availability::label).collect();
+        for (label, gauge) in &self.engines {
+            let count = labels.iter().filter(|other| *other == label).count();
+            gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+        }
+    }
+
     /// Renders all metrics as text.
     #[must_use]
     pub fn render(&self) -> String {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -30,9 +30,7 @@
 use platform::settings::NodeSettings;
 use routing::CrashSuspects;
 use routing::Directory;
-use routing::directory::DirectoryEntry;
 use routing::directory::EngineAnnouncement;
-use routing::directory::Phase;
 use routing::placement::EngineCapacity;
 use routing::placement::EnginePool;
 use routing::shared_retry::RetryLimits;
@@ -43,7 +41,7 @@
 use crate::metrics::GatewayMetrics;
 use crate::outbox::Outbox;
 
-/// Number of missed announcements after which an engine isn't used; announcements can
+/// Number of missed announcements after which an engine counts as silent; announcements can
 /// arrive seconds late.
 const MAX_MISSED_HEARTBEATS: u64 = 8;
 
@@ -188,14 +186,6 @@
     base::hash::hasher().hash_one(address)
 }
 
-/// Returns whether `engine` can be sent new requests.
-fn is_usable(directory: &Directory, engine: &DirectoryEntry, heartbeat: Span, now: Time) -> bool {
-    let silent = Span(heartbeat.0 * MAX_MISSED_HEARTBEATS);
-    engine.announcement.phase == Phase::Ready
-        && engine.last_heard.until(now) < silent
-        && directory.is_current(engine)
-}
-
 impl ProcessState {
     /// Returns the state of a process at its start.
     #[must_use]
@@ -237,16 +227,14 @@
         let Some(index) = self.site_index.clone() else {
             return;
         };
-        let heartbeat = Span::millis(settings.heartbeat_ms);
+        let ttl = Span::millis(settings.heartbeat_ms * MAX_MISSED_HEARTBEATS);
         self.engine_ids.clear();
         for service in &index.site().services {
             let pool = self.engine_pools.entry(service.name.clone()).or_default();
-            let mut usable = Set::default();
+            let mut known = Set::default();
             for engine in self.directory.iter() {
                 let announcement = &engine.announcement;
-                if announcement.service != service.name
-                    || !is_usable(&self.directory, engine, heartbeat, now)
-                {
+                if announcement.service != service.name {
                     continue;
                 }
                 let backend = service.backend.as_ref();
@@ -256,10 +244,14 @@
                 };
                 let key = engine_key(announcement);
                 pool.upsert(key, capacity, announcement.domain != settings.domain);
-                usable.insert(key);
-                self.engine_ids.insert(key, announcement.id.clone());
+                let exclusion = self.directory.exclusion(engine, ttl, now);
+                pool.set_exclusion(key, exclusion);
+                known.insert(key);
+                if exclusion.is_none() {
+                    self.engine_ids.insert(key, announcement.id.clone());
+                }
             }
-            pool.retain(|key| usable.contains(&key));
+            pool.retain(|key| known.contains(&key));
         }
     }
 
--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -53,6 +53,14 @@
         .min(max_delay_ms) as u64
 }
 
+/// Returns the retry delay of a request whose engines have all asked for a pause that ends
+/// after `pause_ms`, where the caller has `remaining_ms` left. Callers don't wait for more
+/// than a third of that.
+#[must_use]
+pub fn pause_retry_after_ms(pause_ms: u64, remaining_ms: u64) -> u64 {
+    pause_ms.min(remaining_ms / 3)
+}
+
 /// Time after the start of shutdown in which every request is accepted. The load
 /// balancer needs two health checks, one second apart, to stop sending requests, and
 /// new connections may be in flight.
--- a/crates/routing/src/directory.rs
+++ b/crates/routing/src/directory.rs
@@ -3,7 +3,11 @@
 //! Announcements may arrive late, more than once and out of order, and even after the
 //! sender's run has ended. A run is identified by its start time, and its announcements
 //! carry an increasing sequence number. An announcement older than the recorded one has
-//! no effect.
+//! no effect, except that an engine that leaves is remembered while its run announces
+//! itself.
+//!
+//! An engine's answers may say that it leaves, too. To the directory, and to the peers, its
+//! run drains from then on; only a later run is used again.
 
 use std::net::SocketAddrV4;
 
@@ -13,6 +17,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::availability::Exclusion;
+
 /// Time after which an engine that was not heard from is removed. It covers the delay of
 /// announcements that a network partition holds up, so that the end of a run is still
 /// recorded when they arrive.
@@ -61,13 +67,15 @@
     Changed,
 }
 
-/// An engine and the time of its last announcement.
+/// An engine and when it was last heard.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DirectoryEntry {
     /// The latest announcement.
     pub announcement: EngineAnnouncement,
     /// The time of the last announcement, by this process's clock.
     pub last_heard: Time,
+    /// Whether an answer of this run to this process said that the engine leaves.
+    pub is_leaving: bool,
 }
 
 /// The known engines.
@@ -92,6 +100,7 @@
                 DirectoryEntry {
                     announcement,
                     last_heard: received_at,
+                    is_leaving: false,
                 },
             );
             return DirectoryUpdate::Changed;
@@ -102,12 +111,12 @@
         let same_run = announcement.started_ms == known.announcement.started_ms;
         if same_run {
             // A run that has begun to drain does not become ready again.
-            if announcement.phase < known.announcement.phase {
-                return DirectoryUpdate::Stale;
-            }
-            if announcement.phase == known.announcement.phase
-                && announcement.sequence <= known.announcement.sequence
-            {
+            let is_stale = (announcement.phase, announcement.sequence)
+                <= (known.announcement.phase, known.announcement.sequence);
+            if is_stale {
+                if known.announcement.phase != Phase::Ready {
+                    known.last_heard = known.last_heard.max(received_at);
+                }
                 return DirectoryUpdate::Stale;
             }
         }
@@ -117,6 +126,7 @@
             || announcement.service != known.announcement.service;
         known.announcement = announcement;
         known.last_heard = known.last_heard.max(received_at);
+        known.is_leaving &= same_run;
         if changed {
             DirectoryUpdate::Changed
         } else {
@@ -124,6 +134,58 @@
         }
     }
 
+    /// Records that an answer of the run that sent `announcement` said that the engine
+    /// leaves.
+    ///
+    /// Returns whether the run becomes unusable by it. If so, the peers should be sent the
+    /// recorded announcement.
+    pub fn record_leaving(&mut self, announcement: &EngineAnnouncement, now: Time) -> bool {
+        let known = self
+            .engines
+            .entry(announcement.id.clone())
+            .or_insert_with(|| DirectoryEntry {
+                announcement: announcement.clone(),
+                last_heard: now,
+                is_leaving: false,
+            });
+        let recorded = &mut known.announcement;
+        if recorded.started_ms > announcement.started_ms {
+            return false;
+        }
+        if recorded.started_ms < announcement.started_ms {
+            recorded.clone_from(announcement);
+        }
+        let changed = recorded.phase == Phase::Ready;
+        recorded.phase = recorded.phase.max(Phase::Draining);
+        known.is_leaving = true;
+        known.last_heard = known.last_heard.max(now);
+        changed
+    }
+
+    /// Returns whether the run that sent `announcement` takes no more requests, or is over.
+    #[must_use]
+    pub fn has_left(&self, announcement: &EngineAnnouncement) -> bool {
+        let known = self.engines.get(&announcement.id);
+        known.is_none_or(|known| {
+            known.announcement.phase != Phase::Ready
+                || known.announcement.started_ms > announcement.started_ms
+        })
+    }
+
+    /// Returns why `engine` isn't sent new requests, if so; it counts as silent `ttl` after
+    /// its last announcement.
+    #[must_use]
+    pub fn exclusion(&self, engine: &DirectoryEntry, ttl: Span, now: Time) -> Option<Exclusion> {
+        match engine.announcement.phase {
+            Phase::Gone => Some(Exclusion::Ended),
+            _ if engine.is_leaving => Some(Exclusion::Leaving),
+            Phase::Draining => Some(Exclusion::Draining),
+            Phase::Ready if !self.is_current(engine) => Some(Exclusion::Superseded),
+            Phase::Ready if engine.last_heard.until(now) >= ttl => Some(Exclusion::Silent),
+            Phase::Ready => None,
+        }
+    }
+
     /// Returns whether a later run uses the same address.
     fn is_superseded(&self, announcement: &EngineAnnouncement) -> bool {
         announcement.phase != Phase::Gone
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,6 +1,7 @@
 //! Selects the endpoint that serves a request.
 //!
 //! - [`admission`]: whether a request is accepted, and the retry delay of a rejected one.
+//! - [`availability`]: whether an engine takes new requests, why not and until when.
 //! - [`concurrency`]: the adaptive concurrency limit of an endpoint.
 //! - [`crash_suspects`]: prompt segments that crash engines.
 //! - [`directory`]: the announced engines, by identifier and run.
@@ -14,6 +15,7 @@
 //! - [`shared_retry`]: the retry budget that all entries share.
 
 pub mod admission;
+pub mod availability;
 pub mod concurrency;
 pub mod crash_suspects;
 pub mod directory;
@@ -26,6 +28,7 @@
 pub mod retry_budget;
 pub mod shared_retry;
 
+pub use crate::availability::Availability;
 pub use crate::concurrency::ConcurrencyLimit;
 pub use crate::crash_suspects::CrashSuspects;
 pub use crate::directory::Directory;
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -17,6 +17,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::availability::Availability;
+use crate::availability::EngineStatus;
+use crate::availability::Exclusion;
 use crate::metadata::PromptSegment;
 
 /// Prefill rate of an engine under mixed load, in tokens per millisecond. The deployment
@@ -65,12 +68,6 @@
 /// Cost of an engine whose requests all fail, in milliseconds.
 const MAX_FAILURE_COST_MS: f64 = 3_000.0;
 
-/// First backoff after an engine was unavailable. It doubles up to [`MAX_BACKOFF`].
-const MIN_BACKOFF: Span = Span::millis(400);
-
-/// Maximum backoff.
-const MAX_BACKOFF: Span = Span::millis(3_200);
-
 /// The load of one entry on an engine.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineLoad {
@@ -123,8 +120,7 @@
     observed_at: Time,
     /// The moving average of failed requests, between zero and one.
     failure_rate: f64,
-    failure_streak: u32,
-    backoff_until: Time,
+    status: EngineStatus,
 }
 
 /// A request to place.
@@ -160,12 +156,22 @@
 pub enum PlacementError {
     /// No engine is available.
     NoEngine,
+    /// All engines have asked for a pause; the first one ends after this time.
+    Paused(Span),
     /// The request could not start in time. Capacity is expected after this many
     /// milliseconds.
     Overloaded(f64),
 }
 
 impl EngineState {
+    fn new(status: EngineStatus) -> Self {
+        Self {
+            slowdown: 1.0,
+            status,
+            ..Self::default()
+        }
+    }
+
     fn total_load(&self) -> EngineLoad {
         let mut total = self.own_load;
         total.add(self.peer_total);
@@ -301,14 +307,63 @@
 impl EnginePool {
     /// Adds an engine, or updates its capacity and domain.
     pub fn upsert(&mut self, engine: u64, capacity: EngineCapacity, cross_domain: bool) {
-        let state = self.engines.entry(engine).or_insert_with(|| EngineState {
-            slowdown: 1.0,
-            ..EngineState::default()
-        });
+        let state = self
+            .engines
+            .entry(engine)
+            .or_insert_with(|| EngineState::new(EngineStatus::default()));
         state.capacity = capacity;
         state.cross_domain = cross_domain;
     }
 
+    /// Sets whether the directory excludes an engine. What is known of the load and the
+    /// cache of an engine ends with its exclusion.
+    pub fn set_exclusion(&mut self, engine: u64, exclusion: Option<Exclusion>) {
+        if let Some(engine) = self.engines.get_mut(&engine) {
+            let begins = exclusion.is_some() && !engine.status.is_excluded();
+            engine.status.set_exclusion(exclusion);
+            if begins {
+                *engine = EngineState {
+                    capacity: engine.capacity,
+                    cross_domain: engine.cross_domain,
+                    ..EngineState::new(engine.status)
+                };
+            }
+        }
+    }
+
+    /// Returns whether an engine takes new requests; an unknown one has ended.
+    #[must_use]
+    pub fn availability(&self, engine: u64, now: Time) -> Availability {
+        let engine = self.engines.get(&engine);
+        engine.map_or(Availability::Excluded(Exclusion::Ended), |engine| {
+            engine.status.at(now)
+        })
+    }
+
+    /// Returns whether each engine takes new requests.
+    pub fn availabilities(&self, now: Time) -> impl Iterator<Item = Availability> + '_ {
+        self.engines
+            .values()
+            .map(move |engine| engine.status.at(now))
+    }
+
+    /// Returns the time until the first pause ends if all engines that aren't excluded have
+    /// asked for one.
+    #[must_use]
+    pub fn pause_left(&self, now: Time) -> Option<Span> {
+        let mut first: Option<Time> = None;
+        for availability in self.availabilities(now) {
+            match availability {
+                Availability::Excluded(_) => {}
+                Availability::Paused { until } => {
+                    first = Some(first.map_or(until, |first| first.min(until)));
+                }
+                Availability::Available | Availability::Backoff { .. } => return None,
+            }
+        }
+        first.map(|until| now.until(until))
+    }
+
     /// Keeps the engines for which `keep` returns true.
     pub fn retain(&mut self, keep: impl Fn(u64) -> bool) {
         self.engines.retain(|&id, _| keep(id));
@@ -330,8 +385,9 @@
     /// engines that have cached it, or zero where none has.
     fn segment_rarity(&self, request: &PlacementRequest<'_>) -> Vec<f64> {
         let rarity = |segment: &PromptSegment| {
-            let is_cached =
-                |engine: &&EngineState| engine.cached_segments.contains_key(&segment.id);
+            let is_cached = |engine: &&EngineState| {
+                !engine.status.is_excluded() && engine.cached_segments.contains_key(&segment.id)
+            };
             let holders = self.engines.values().filter(is_cached).count();
             let holders = u32::try_from(holders).unwrap_or(u32::MAX);
             if holders == 0 {
@@ -347,7 +403,8 @@
     ///
     /// # Errors
     ///
-    /// Fails where no engine is available or none can start the request in time.
+    /// Fails where no engine is available, all have asked for a pause, or none can start
+    /// the request in time.
     pub fn choose(
         &self,
         request: &PlacementRequest<'_>,
@@ -359,8 +416,10 @@
         let mut outside_backoff = true;
         for pass in 0..2 {
             for (&id, engine) in &self.engines {
-                let in_backoff = engine.backoff_until > now;
-                if request.excluded_engines.contains(&id) || (pass == 0 && in_backoff) {
+                let availability = engine.status.at(now);
+                let is_candidate = availability == Availability::Available
+                    || (pass > 0 && availability.allows_requests());
+                if !is_candidate || request.excluded_engines.contains(&id) {
                     continue;
                 }
                 let (expected, cost) = engine.cost(request, &rarity, engine.total_load(), now);
@@ -383,7 +442,10 @@
                 break;
             }
         }
-        let (_, _, expected_ttft_ms, engine, load) = best.ok_or(PlacementError::NoEngine)?;
+        let (_, _, expected_ttft_ms, engine, load) = best.ok_or_else(|| {
+            self.pause_left(now)
+                .map_or(PlacementError::NoEngine, PlacementError::Paused)
+        })?;
         if outside_backoff && expected_ttft_ms > request.max_ttft_ms {
             return Err(PlacementError::Overloaded(
                 expected_ttft_ms - request.max_ttft_ms,
@@ -427,7 +489,7 @@
                 ..EngineLoad::default()
             };
             engine.own_load.subtract(prefill);
-            engine.failure_streak = 0;
+            engine.status.record_response();
             if engine.capacity.kv_tokens > 0 {
                 let sample = (ttft_ms / choice.baseline_ttft_ms.max(1.0))
                     .clamp(SLOWDOWN_SAMPLE_BOUNDS.0, SLOWDOWN_SAMPLE_BOUNDS.1);
@@ -452,9 +514,14 @@
     /// Records that an engine was unreachable or had no capacity, and starts its backoff.
     pub fn record_unavailable(&mut self, engine: u64, now: Time) {
         if let Some(engine) = self.engines.get_mut(&engine) {
-            let backoff = MIN_BACKOFF.0 << engine.failure_streak.min(3);
-            engine.failure_streak += 1;
-            engine.backoff_until = now + Span(backoff.min(MAX_BACKOFF.0));
+            engine.status.record_unavailable(now);
+        }
+    }
+
+    /// Records that an engine asked for a pause.
+    pub fn record_pause(&mut self, engine: u64, pause: Span, now: Time) {
+        if let Some(engine) = self.engines.get_mut(&engine) {
+            engine.status.record_pause(pause, now);
         }
     }
 
