gateway: engines that say that they leave or want a pause are left alone

What callers saw: requests went on to engines whose answers had `Server-Leaving: 1` until an announcement said so, and a service whose only engine had answered 503 with `Retry-After` was asked again after 0.4 s, each time at the price of a refused caller.

Change: each response is read for what its engine says of itself, if it bears the request's identifier or none and isn't a 421. `Server-Leaving: 1` records the run as leaving in the directory, drops the kept connections to it and tells the peers, as a drain. A 503 with `Retry-After` pauses the engine for this process. An announcement of a leaving run as ready is answered to peers with what is recorded.

Ruled out: a probe during the pause (it costs a caller a refusal, and the engine named the time itself); sharing pauses (they concern one process).

--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -59,6 +59,11 @@
         }
     }
 
+    /// Drops the connections to an engine.
+    pub fn remove_engine(&mut self, address: SocketAddrV4) {
+        self.idle.remove(&address);
+    }
+
     /// Drops expired connections.
     pub fn remove_expired(&mut self, now: Time) {
         self.idle.retain(|_, list| {
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -158,7 +158,11 @@
     );
     let mut state = shared.state();
     let update = state.directory.apply_announcement(announcement, now);
-    if update != DirectoryUpdate::Stale {
+    let recorded = state.directory.get(id).map(|entry| &entry.announcement);
+    // A run that leaves may announce itself as ready; peers that don't hear it must remember
+    // that it leaves for as long as this process does.
+    let leaves = recorded.is_some_and(|recorded| recorded.phase > phase);
+    if update != DirectoryUpdate::Stale || leaves {
         state.queue_announcement(id);
     }
     if update == DirectoryUpdate::Changed {
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -3,7 +3,7 @@
 //!
 //! Its inputs are a request and its caller's connection.
 //!
-//! - [`availability`]: whether an engine may still be sent a request.
+//! - [`availability`]: what engines say of themselves, and whether they take requests.
 //! - [`cancellation`]: cancels a request at its engine.
 //! - [`charging`]: charges a request to its team's budget.
 //! - [`crashes`]: requests whose engine crashed.
@@ -511,6 +511,7 @@
             shared: self.shared,
             service: self.service,
             choice: *choice,
+            engine,
             load: choice.load,
             failed: false,
         };
@@ -582,7 +583,9 @@
         {
             let now = self.shared.now();
             let mut state = self.shared.state();
-            state.connections.release(engine.address, conn, idle_s, now);
+            if !state.directory.has_left(engine) {
+                state.connections.release(engine.address, conn, idle_s, now);
+            }
         }
         guard.failed = matches!(
             outcome,
--- a/crates/gateway/src/forwarding/availability.rs
+++ b/crates/gateway/src/forwarding/availability.rs
@@ -1,12 +1,16 @@
-//! Whether an engine may still be sent a request.
+//! What engines say of themselves in their responses, and whether an engine may still be
+//! sent a request.
 
 use base::Span;
 use base::Time;
+use http::ResponseHead;
+use platform::headers;
 use routing::Availability;
 use routing::directory::EngineAnnouncement;
 use routing::placement::EnginePool;
 
 use super::RequestForwarder;
+use super::guards::DispatchGuard;
 use crate::state::ProcessState;
 
 /// Returns the labels of the engines' states with the number of engines in each.
@@ -20,6 +24,45 @@
 }
 
 impl RequestForwarder<'_> {
+    /// Records what an engine says of itself in a response.
+    pub(super) fn record_notice(&self, guard: &DispatchGuard<'_>, head: &ResponseHead) {
+        let notice = headers::engine_notice(head, self.request.metadata.id.as_deref());
+        if notice.leaving {
+            self.record_leaving(guard.engine);
+        }
+        let Some(pause_ms) = notice.pause_ms.filter(|&ms| ms > 0) else {
+            return;
+        };
+        let now = self.shared.now();
+        let mut state = self.shared.state();
+        if let Some(pool) = state.engine_pools.get_mut(self.service) {
+            pool.record_pause(guard.choice.engine, Span::millis(pause_ms), now);
+        }
+        drop(state);
+        log::info!(
+            "engine: event=paused engine={} for_ms={pause_ms}",
+            guard.engine.id
+        );
+    }
+
+    fn record_leaving(&self, engine: &EngineAnnouncement) {
+        let now = self.shared.now();
+        let mut state = self.shared.state();
+        state.connections.remove_engine(engine.address);
+        if !state.directory.record_leaving(engine, now) {
+            return;
+        }
+        state.queue_announcement(&engine.id);
+        state.update_engine_pools(&self.shared.settings, now);
+        drop(state);
+        log::info!(
+            "engine: event=leaving engine={} born={}",
+            engine.id,
+            engine.started_ms
+        );
+        self.shared.update_needed.notify(usize::MAX);
+    }
+
     /// Returns whether the engine `key` still takes requests; logs it if not.
     pub(super) fn accepts_request(&self, key: u64, engine: &EngineAnnouncement) -> bool {
         let now = self.shared.now();
--- a/crates/gateway/src/forwarding/guards.rs
+++ b/crates/gateway/src/forwarding/guards.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use base::Span;
+use routing::directory::EngineAnnouncement;
 use routing::placement::EngineChoice;
 use routing::placement::EngineLoad;
 
@@ -85,6 +86,8 @@
     pub service: &'a str,
     /// The chosen engine.
     pub choice: EngineChoice,
+    /// Its run.
+    pub engine: &'a EngineAnnouncement,
     /// The load that the request still puts on the engine.
     pub load: EngineLoad,
     /// Whether the engine failed the request.
--- a/crates/gateway/src/forwarding/response.rs
+++ b/crates/gateway/src/forwarding/response.rs
@@ -63,6 +63,7 @@
                 Ok(_) => {}
             }
         };
+        self.record_notice(guard, &head);
         match headers::execution(&head, self.request.metadata.id.as_deref()) {
             Execution::Executed => self.mark_started(),
             Execution::NotExecuted | Execution::WrongInstance => {
