routing: failures before an exclusion don't count after it

Cause: since engines stay in the pool while they are excluded, one that missed announcements came back with the backoff and the failure streak that it had before; until then it came back without. Only a pause should outlast an exclusion.

--- a/crates/routing/src/availability.rs
+++ b/crates/routing/src/availability.rs
@@ -125,8 +125,13 @@
         self.exclusion.is_some()
     }
 
-    /// Sets whether the directory excludes the engine.
+    /// Sets whether the directory excludes the engine. Its failures don't count after an
+    /// exclusion; a pause does.
     pub fn set_exclusion(&mut self, exclusion: Option<Exclusion>) {
+        if exclusion.is_some() {
+            self.backoff_until = Time::default();
+            self.failure_streak = 0;
+        }
         self.exclusion = exclusion;
     }
 
--- a/crates/routing/tests/availability.rs
+++ b/crates/routing/tests/availability.rs
@@ -226,6 +226,21 @@
     assert_eq!(choose(&pool, &[], at(3_000)), Err(left));
 }
 
+#[test]
+fn failures_before_an_exclusion_do_not_count_after_it() {
+    let mut pool = pool(1);
+    for _ in 0..5 {
+        pool.record_unavailable(0, at(1_000));
+    }
+    let backoff = |until| Availability::Backoff { until };
+    assert_eq!(pool.availability(0, at(1_000)), backoff(at(4_200)));
+    pool.set_exclusion(0, Some(Exclusion::Silent));
+    pool.set_exclusion(0, None);
+    assert_eq!(pool.availability(0, at(1_000)), Availability::Available);
+    pool.record_unavailable(0, at(2_000));
+    assert_eq!(pool.availability(0, at(2_000)), backoff(at(2_400)));
+}
+
 #[test]
 fn callers_are_told_the_end_of_the_first_pause_only_if_all_engines_pause() {
     let mut pool = pool(3);
