--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -42,6 +42,8 @@
 /// The child of a [`Process`], as far as it hasn't been reaped.
 #[derive(Default)]
 pub struct Running {
+    /// Whether it exited with another status than success.
+    failed: bool,
     child: Option<Child>,
     suspended: bool,
     throttled: bool,
@@ -191,15 +193,16 @@
     /// Returns whether the process has exited or was never started.
     pub fn has_exited(&mut self) -> bool {
         let mut running = self.lock();
-        let exited = match &mut running.child {
-            Some(child) => child.try_wait().is_ok_and(|status| status.is_some()),
-            None => return true,
+        let Some(child) = &mut running.child else {
+            return true;
         };
-        if exited {
-            // The identifier may be used again.
-            running.child = None;
-        }
-        exited
+        let Some(status) = child.try_wait().ok().flatten() else {
+            return false;
+        };
+        // The identifier may be used again.
+        running.child = None;
+        running.failed = !status.success();
+        true
     }
 
     /// Returns whether the process has exited without [`Self::kill`]; only the first call
@@ -209,14 +212,10 @@
         was_running && self.has_exited()
     }
 
-    /// Returns whether the process has exited with another status than success.
-    pub fn has_failed(&mut self) -> bool {
-        match &mut self.child {
-            Some(child) => child
-                .try_wait()
-                .is_ok_and(|status| status.is_some_and(|status| !status.success())),
-            None => false,
-        }
+    /// Returns whether the process has exited with another status than success, as
+    /// [`Self::has_exited`] has found.
+    pub fn has_failed(&self) -> bool {
+        self.lock().failed
     }
 
     /// Kills the process and waits for its exit.
