gateway: an answer counts for a request only if it bears its identifier

Callers saw: a call that may not be repeated ran at two engines, or was answered 503 ("not run") while an engine ran it. A faulty engine wrote an earlier refusal once more where the next answer was due on a kept connection.

Cause: `headers::execution` looked at status 421 and at `Not-Executed` before it compared the identifiers. An answer without an identifier was taken for an answer to any request, and statuses 408, 429 and 503 without the engine's statement were passed on, although callers take them for a promise. The same class elsewhere: the cancellation of a request whose caller left read the status of whatever came, interim responses included.

Change: `forwarding::answer::read_head` is the only place that reads a head of an engine; it compares the identifier before anything else, for interim responses too, and an answer to another request ends the connection and says nothing. Bytes that wait on a kept connection before a request is written, and bytes left after a complete answer, already kept a connection from being used again.

--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -3,6 +3,7 @@
 //!
 //! Its inputs are a request and its caller's connection.
 //!
+//! - [`answer`]: the head of an engine's answer, if it's about the request.
 //! - [`cancellation`]: cancels a request at its engine.
 //! - [`charging`]: charges a request to its team's budget.
 //! - [`crashes`]: requests whose engine crashed.
@@ -10,6 +11,7 @@
 //! - [`rejection`]: the causes for which the gateway rejects a request.
 //! - [`response`]: an engine's response, buffered or streamed to the caller.
 
+mod answer;
 mod cancellation;
 mod charging;
 mod crashes;
@@ -506,7 +508,11 @@
             failed: false,
         };
         let now = self.shared.now();
-        let idle_conn = self.shared.state().connections.acquire(engine.address, now);
+        // Without an identifier, a late answer to an earlier request couldn't be told apart.
+        let idle_conn = self.request.metadata.id.as_ref().and_then(|_| {
+            let mut state = self.shared.state();
+            state.connections.acquire(engine.address, now)
+        });
         let conn = match idle_conn {
             Some(conn) => conn,
             None => {
--- a/crates/gateway/src/forwarding/cancellation.rs
+++ b/crates/gateway/src/forwarding/cancellation.rs
@@ -10,11 +10,11 @@
 
 use async_io::Timer;
 use futures_lite::FutureExt as _;
-use http::ResponseHead;
 use platform::headers;
 use platform::headers::Execution;
 
-use super::response::MAX_HEAD_BYTES;
+use super::answer;
+use super::answer::AnswerError;
 use crate::conn::Conn;
 
 /// Maximum wait for an engine to drop a request whose connection was shut down; after it
@@ -90,20 +90,11 @@
 pub async fn cancel_unstarted(mut conn: Conn, id: Option<&str>) -> bool {
     conn.shutdown(Shutdown::Write);
     let ended = async {
-        loop {
-            // The method decides only how a body is framed.
-            match ResponseHead::parse(&conn.buf, MAX_HEAD_BYTES, "POST") {
-                Ok(Some((head, _))) => {
-                    return headers::execution(&head, id) == Execution::NotExecuted;
-                }
-                Ok(None) => {}
-                Err(_) => return false,
-            }
-            match conn.fill().await {
-                Ok(0) => return conn.buf.is_empty(),
-                Ok(_) => {}
-                Err(_) => return false,
-            }
+        // The method decides only how a body is framed.
+        match answer::read_head(&mut conn, "POST", id).await {
+            Ok(head) => headers::execution(&head, id) == Execution::NotExecuted,
+            Err(AnswerError::Closed) => conn.buf.is_empty(),
+            Err(_) => false,
         }
     };
     let timed_out = async {
--- a/crates/gateway/src/forwarding/response.rs
+++ b/crates/gateway/src/forwarding/response.rs
@@ -14,15 +14,11 @@
 use super::ConnectionReuse;
 use super::RequestForwarder;
 use super::RequestOutcome;
+use super::answer;
+use super::answer::AnswerError;
 use super::guards::DispatchGuard;
 use crate::conn::Conn;
 
-/// Maximum length of the head of an engine's response, in bytes.
-pub(super) const MAX_HEAD_BYTES: usize = 64 << 10;
-
-/// Maximum number of interim responses (status 1xx) before a response.
-const MAX_INTERIM_RESPONSES: usize = 16;
-
 /// Maximum length of one event, and of what isn't an event between two of them, in bytes.
 const MAX_EVENT_BYTES: usize = 256 << 10;
 
@@ -38,32 +34,19 @@
         sent_at: Time,
         caller: &Conn,
     ) -> AttemptOutcome {
-        let mut interim_responses = 0;
-        let head = loop {
-            match ResponseHead::parse(&conn.buf, MAX_HEAD_BYTES, &self.request.head.method) {
-                Ok(Some((head, length))) => {
-                    conn.consume(length);
-                    if head.status >= 200 {
-                        break head;
-                    }
-                    interim_responses += 1;
-                    if interim_responses > MAX_INTERIM_RESPONSES {
-                        return AttemptOutcome::Failed;
-                    }
-                    continue;
-                }
-                Ok(None) => {}
-                Err(_) => return AttemptOutcome::Failed,
-            }
-            match conn.fill().await {
-                Ok(0) | Err(_) => {
-                    self.engine_closed = true;
-                    return AttemptOutcome::Failed;
+        let request = self.request;
+        let id = request.metadata.id.as_deref();
+        let head = match answer::read_head(conn, &request.head.method, id).await {
+            Ok(head) => head,
+            Err(error) => {
+                self.engine_closed = error.is_disconnect();
+                if !self.engine_closed {
+                    self.log_unusable(error);
                 }
-                Ok(_) => {}
+                return AttemptOutcome::Failed;
             }
         };
-        match headers::execution(&head, self.request.metadata.id.as_deref()) {
+        match headers::execution(&head, id) {
             Execution::Executed => self.mark_started(),
             Execution::NotExecuted | Execution::WrongInstance => {
                 return AttemptOutcome::NotExecuted;
@@ -92,6 +75,11 @@
         }
     }
 
+    fn log_unusable(&self, error: AnswerError) {
+        let id = self.request.metadata.id.as_deref().unwrap_or("-");
+        log::warn!("request: id={id} event=answer outcome=unusable reason=\"{error}\"");
+    }
+
     /// Marks the connection as reusable if the engine keeps it open and no bytes are unread.
     fn update_reuse(&mut self, conn: &Conn, head: &ResponseHead) {
         if !head.connection_close && conn.buf.is_empty() {
