gateway: after the head of a stream only its later events may follow

Callers could see: a stream had begun and broke off, the next engine answered with an error, and its text with its whole head came in the middle of the stream; or the stream began anew; or it ended as if it were complete.

Cause: `read_response` passed any complete answer to `write_response`, which didn't look at whether a head was sent, and any stream was appended, whatever its first event. For an answer without a length the events of the engine before counted as its own, so that an empty one completed the stream.

Change: `forwarding::reply::CallerReply` is the response to the caller; the right to write a head (`UnsentHead`) exists once and is used up by writing a whole response, a rejection or the head of a stream, so that a second head can't be written. A stream goes on only with a 2xx stream whose first event has a later identifier than the last one sent, and ends as complete only after an event of the engine that ends it. On routes with resumption the same holds for a stream that the caller resumes.

--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -9,6 +9,7 @@
 //! - [`crashes`]: requests whose engine crashed.
 //! - [`guards`]: guards that release a charge and an engine's load when dropped.
 //! - [`rejection`]: the causes for which the gateway rejects a request.
+//! - [`reply`]: the response to the caller, with one head.
 //! - [`response`]: an engine's response, buffered or streamed to the caller.
 
 mod answer;
@@ -17,6 +18,7 @@
 mod crashes;
 mod guards;
 mod rejection;
+mod reply;
 mod response;
 
 use std::io;
@@ -45,6 +47,7 @@
 use self::guards::ChargeGuard;
 use self::guards::DispatchGuard;
 use self::rejection::RejectionCause;
+use self::reply::CallerReply;
 use crate::conn::Conn;
 use crate::connection_pool;
 use crate::state::ProcessContext;
@@ -125,8 +128,8 @@
     /// The number of tokens per event.
     event_tokens: u64,
     deadline: Time,
-    /// Whether the head of a response was sent to the caller.
-    head_sent: bool,
+    /// The response to the caller.
+    reply: &'a mut CallerReply,
     /// The identifier of the last event that the caller has received.
     last_event: Option<String>,
     event_count: u64,
@@ -173,9 +176,10 @@
 
 async fn respond(shared: &Arc<ProcessContext>, request: &Request, caller: &Conn) -> RequestOutcome {
     let site = shared.state().site_index.clone();
+    let mut reply = CallerReply::new(request.close);
     let outcome = match &site {
         None => Err(RejectionCause::Unconfigured),
-        Some(site) => admit(shared, site, request, caller).await,
+        Some(site) => admit(shared, site, request, &mut reply, caller).await,
     };
     let cause = match outcome {
         Ok(outcome) => return outcome,
@@ -214,7 +218,10 @@
         retry_after_ms,
         close,
     };
-    headers::write_rejection(&mut out, &rejection);
+    let Some(unsent) = reply.unsent_head() else {
+        return RequestOutcome::Aborted;
+    };
+    unsent.write_rejection(&mut out, &rejection);
     match caller.write_all(&out).await {
         Ok(()) if close => RequestOutcome::CompleteAndClose,
         Ok(()) => RequestOutcome::Complete,
@@ -226,6 +233,7 @@
     shared: &Arc<ProcessContext>,
     site: &SiteIndex,
     request: &Request,
+    reply: &mut CallerReply,
     caller: &Conn,
 ) -> Result<RequestOutcome, RejectionCause> {
     let head = &request.head;
@@ -265,7 +273,7 @@
             .unwrap_or(route.priority),
         event_tokens: backend.map_or(1, |backend| u64::from(backend.event_tokens)),
         deadline,
-        head_sent: false,
+        reply,
         last_event: request.metadata.last_event.clone(),
         event_count: 0,
         tried_engines: Vec::new(),
@@ -416,8 +424,8 @@
     fn may_execute_again(&self) -> bool {
         self.execution_count < self.route.max_attempts
             && match self.route.retry_policy {
-                RetryPolicy::Idempotent => !self.head_sent,
-                RetryPolicy::ResumeStream => !self.head_sent || self.last_event.is_some(),
+                RetryPolicy::Idempotent => !self.reply.head_sent(),
+                RetryPolicy::ResumeStream => !self.reply.head_sent() || self.last_event.is_some(),
                 RetryPolicy::AtMostOnce => false,
             }
     }
@@ -441,7 +449,7 @@
         error_response: Option<(ResponseHead, Vec<u8>)>,
         caller: &Conn,
     ) -> Result<RequestOutcome, RejectionCause> {
-        if self.head_sent {
+        if self.reply.head_sent() {
             self.log_aborted("none_left");
             return Ok(RequestOutcome::Aborted);
         }
--- a/crates/gateway/src/forwarding/response.rs
+++ b/crates/gateway/src/forwarding/response.rs
@@ -53,7 +53,11 @@
             }
             Execution::Unverified => return AttemptOutcome::Failed,
         }
-        if head.status < 300 && headers::is_event_stream(&head) {
+        let is_stream = head.status < 300 && headers::is_event_stream(&head);
+        if self.reply.head_sent() && !is_stream {
+            return AttemptOutcome::Failed;
+        }
+        if is_stream {
             return self
                 .forward_stream(conn, guard, sent_at, &head, caller)
                 .await;
@@ -95,9 +99,10 @@
         caller: &Conn,
     ) -> RequestOutcome {
         let mut out = Vec::with_capacity(512 + body.len());
-        headers::write_response(&mut out, head, Some(body.len() as u64), self.request.close);
-        out.extend_from_slice(body);
-        self.head_sent = true;
+        let Some(unsent) = self.reply.unsent_head() else {
+            return RequestOutcome::Aborted;
+        };
+        unsent.write_whole(&mut out, head, body);
         match caller.write_all(&out).await {
             Ok(()) => RequestOutcome::Complete,
             Err(_) => RequestOutcome::Aborted,
@@ -117,6 +122,8 @@
         let mut events = Vec::new();
         let mut out = Vec::new();
         let mut empty_bytes = 0;
+        // Events of this engine; those of earlier ones show nothing about its answer.
+        let mut own_events = 0;
         loop {
             match decoder.decode(&conn.buf, &mut events) {
                 Ok(consumed) => conn.consume(consumed),
@@ -136,6 +143,10 @@
                     self.first_event = Some(self.shared.now());
                 }
                 let (count, last_id) = event_stream::count_and_last_id(&events[..complete_len]);
+                if own_events == 0 && count > 0 && !self.may_follow(&events[..complete_len]) {
+                    return self.stream_failure();
+                }
+                own_events += count;
                 self.event_count += count as u64;
                 empty_bytes = if count > 0 {
                     0
@@ -156,6 +167,9 @@
                 }
                 return self.stream_failure();
             }
+            if is_complete && own_events == 0 && self.reply.head_sent() {
+                return self.stream_failure();
+            }
             if is_complete {
                 self.write_head_once(head, &mut out);
                 write_last_chunk(&mut out);
@@ -176,7 +190,7 @@
             }
             match conn.fill().await {
                 // Without a length, an end before the first event shows nothing.
-                Ok(0) if decoder.is_complete_at_eof() && self.event_count > 0 => {
+                Ok(0) if decoder.is_complete_at_eof() && own_events > 0 => {
                     decoder = BodyDecoder::new(http::Framing::None);
                 }
                 Ok(0) | Err(_) => {
@@ -188,18 +202,29 @@
         }
     }
 
+    /// Returns whether the first of these events, which begin an engine's answer, may follow
+    /// the last one that the caller has received.
+    fn may_follow(&self, events: &[u8]) -> bool {
+        let first = event_stream::first_id(events);
+        let resumed = self.reply.head_sent();
+        let resumable = resumed || self.route.retry_policy == RetryPolicy::ResumeStream;
+        match (first, &self.last_event) {
+            (Some(first), Some(last)) if resumable => event_stream::is_later(first, last),
+            _ => !resumed,
+        }
+    }
+
     /// Appends the head of the response to `out` unless it was sent already.
     fn write_head_once(&mut self, head: &ResponseHead, out: &mut Vec<u8>) {
-        if !self.head_sent {
-            headers::write_response(out, head, None, self.request.close);
-            self.head_sent = true;
+        if let Some(unsent) = self.reply.unsent_head() {
+            unsent.begin_stream(out, head);
         }
     }
 
     /// Returns the outcome of a broken stream: it can only be retried if the caller has
     /// received nothing or the stream can be resumed.
     fn stream_failure(&self) -> AttemptOutcome {
-        if self.head_sent && self.route.retry_policy != RetryPolicy::ResumeStream {
+        if self.reply.head_sent() && self.route.retry_policy != RetryPolicy::ResumeStream {
             return AttemptOutcome::Aborted;
         }
         AttemptOutcome::Failed
--- a/crates/http/src/event_stream.rs
+++ b/crates/http/src/event_stream.rs
@@ -43,3 +43,26 @@
     }
     (count, id)
 }
+
+/// Returns the identifier of the first event in `bytes`, if it has one.
+#[must_use]
+pub fn first_id(bytes: &[u8]) -> Option<&str> {
+    let lines = bytes.split(|&b| b == b'\n');
+    let lines = lines.map(|line| line.strip_suffix(b"\r").unwrap_or(line));
+    // Comments and blank lines may precede the event.
+    let mut event = lines
+        .skip_while(|line| line.is_empty() || line.starts_with(b":"))
+        .take_while(|line| !line.is_empty());
+    let value = event.find_map(|line| line.strip_prefix(b"id:"))?;
+    std::str::from_utf8(value).ok().map(str::trim)
+}
+
+/// Returns whether the event `id` comes after the event `last`. Identifiers that aren't numbers
+/// have no order; they only differ.
+#[must_use]
+pub fn is_later(id: &str, last: &str) -> bool {
+    match (id.parse::<u64>(), last.parse::<u64>()) {
+        (Ok(id), Ok(last)) => id > last,
+        _ => id != last,
+    }
+}
--- a/crates/http/tests/messages.rs
+++ b/crates/http/tests/messages.rs
@@ -150,3 +150,16 @@
     let (count, id) = event_stream::count_and_last_id(b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
     assert_eq!((count, id), (2, Some("2")));
 }
+
+#[test]
+fn the_first_event_of_a_continued_stream_is_told_by_its_identifier() {
+    let first = |text: &'static str| event_stream::first_id(text.as_bytes());
+    assert_eq!(first("id: 7\ndata: a\n\nid: 8\n\n"), Some("7"));
+    assert_eq!(first(": ping\r\n\r\ndata: a\r\nid: 7\r\n\r\n"), Some("7"));
+    assert_eq!(first("data: a\n\nid: 8\n\n"), None);
+    assert_eq!(first(": ping\n\n"), None);
+    assert!(event_stream::is_later("10", "9"));
+    for (id, last) in [("9", "9"), ("1", "2"), ("a", "a")] {
+        assert!(!event_stream::is_later(id, last));
+    }
+}
