routing: odd entries displace no engine and the directory is bounded

Seen by reading, then shown by tests: an announcement of a service that isn't configured, under the identifier or at the address of a sound engine, took that engine's place until its next heartbeat, or for good with a large sequence number or start. The directory recorded any number of identifiers; each new one costs a search of all.

Change: an entry of a service that isn't configured neither replaces nor supersedes one of a configured service (it is kept, as a later configuration may name the service), and at most 4,096 engines are recorded.

Evidence: `unconfigured_services_displace_no_engine` and `identifiers_without_end_are_not_all_recorded` (crates/routing/tests).

--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -435,6 +435,8 @@
         }
         state.grants.discard_answers();
         let routes = site.routes.len();
+        let services = site.services.iter().map(|service| service.name.clone());
+        state.directory.set_services(services.collect());
         state.site_index = Some(Arc::new(SiteIndex::new(site)));
         state.config_body = Arc::new(body);
         let now = self.now();
--- a/crates/routing/src/directory.rs
+++ b/crates/routing/src/directory.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddrV4;
 
 use base::Map;
+use base::Set;
 use base::Span;
 use base::Time;
 use serde::Deserialize;
@@ -18,6 +19,9 @@
 /// recorded when they arrive.
 const ENGINE_TTL: Span = Span::millis(120_000);
 
+/// Maximum number of known engines. Further ones are not recorded until others expire.
+const MAX_ENGINES: usize = 4_096;
+
 /// The phase of an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Phase {
@@ -55,6 +59,9 @@
 pub enum DirectoryUpdate {
     /// None: the announcement is older than the recorded one.
     Stale,
+    /// None: it names a service that isn't configured, in the place of an engine of one that
+    /// is, or there are too many engines.
+    Rejected,
     /// Only the time of the last announcement changed.
     Refreshed,
     /// The run, phase, address or service of the engine changed.
@@ -74,9 +81,21 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     engines: Map<String, DirectoryEntry>,
+    /// The configured services; empty if none is known yet.
+    services: Set<String>,
 }
 
 impl Directory {
+    /// Sets the configured services. Engines of others are recorded, since a later
+    /// configuration may name them, but take the place of no engine of a configured one.
+    pub fn set_services(&mut self, services: Set<String>) {
+        self.services = services;
+    }
+
+    fn is_configured(&self, announcement: &EngineAnnouncement) -> bool {
+        self.services.is_empty() || self.services.contains(&announcement.service)
+    }
+
     /// Applies an announcement that was received at `received_at`.
     pub fn apply_announcement(
         &mut self,
@@ -86,6 +105,15 @@
         if self.is_superseded(&announcement) {
             return DirectoryUpdate::Stale;
         }
+        let configured = self.is_configured(&announcement);
+        let is_full = self.engines.len() >= MAX_ENGINES;
+        let known = self.engines.get(&announcement.id);
+        let rejected = known.map_or(is_full, |known| {
+            !configured && self.is_configured(&known.announcement)
+        });
+        if rejected {
+            return DirectoryUpdate::Rejected;
+        }
         let Some(known) = self.engines.get_mut(&announcement.id) else {
             self.engines.insert(
                 announcement.id.clone(),
@@ -132,6 +160,8 @@
                     && engine.announcement.id != announcement.id
                     && engine.announcement.started_ms > announcement.started_ms
                     && engine.announcement.phase != Phase::Gone
+                    && (self.is_configured(&engine.announcement)
+                        || !self.is_configured(announcement))
             })
     }
 
--- a/crates/routing/tests/directory.rs
+++ b/crates/routing/tests/directory.rs
@@ -118,3 +118,44 @@
         .tests(2_000)
         .quickcheck(result_is_independent_of_order as fn(Vec<ArbitraryAnnouncement>, u64) -> bool);
 }
+
+/// An entry of a service that isn't configured names a sound engine's identifier or address.
+#[test]
+fn unconfigured_services_displace_no_engine() {
+    let mut directory = Directory::default();
+    directory.set_services(["llm".to_owned()].into_iter().collect());
+    let now = Time(1);
+    directory.apply_announcement(announcement("e", 5, 1, Phase::Ready), now);
+    let odd = |id| EngineAnnouncement {
+        service: "nobody".to_owned(),
+        ..announcement(id, 9, 9, Phase::Ready)
+    };
+    let update = directory.apply_announcement(odd("e"), now);
+    assert_eq!(update, DirectoryUpdate::Rejected);
+    directory.apply_announcement(odd("f"), now);
+    assert!(directory.is_current(directory.get("e").unwrap()));
+    let next = directory.apply_announcement(announcement("e", 5, 2, Phase::Ready), now);
+    assert_eq!(next, DirectoryUpdate::Refreshed);
+    // The engine of a service that is configured later is known then.
+    directory.set_services(["nobody".to_owned()].into_iter().collect());
+    assert!(directory.is_current(directory.get("f").unwrap()));
+}
+
+#[test]
+fn identifiers_without_end_are_not_all_recorded() {
+    let mut directory = Directory::default();
+    directory.apply_announcement(announcement("e", 5, 1, Phase::Ready), Time(1));
+    for n in 0..20_000_u32 {
+        let odd = EngineAnnouncement {
+            address: SocketAddrV4::new(n.into(), 80),
+            ..announcement(&n.to_string(), 5, 1, Phase::Ready)
+        };
+        directory.apply_announcement(odd, Time(2));
+    }
+    assert!(directory.iter().count() < 5_000);
+    let known = directory.apply_announcement(announcement("e", 5, 2, Phase::Ready), Time(3));
+    assert_eq!(known, DirectoryUpdate::Refreshed);
+    directory.expire(Time(200_000_000));
+    let fresh = directory.apply_announcement(announcement("g", 5, 1, Phase::Ready), Time(4));
+    assert_eq!(fresh, DirectoryUpdate::Changed);
+}
