--- a/crates/base/src/time.rs
+++ b/crates/base/src/time.rs
@@ -16,16 +16,16 @@
 pub struct Span(pub u64);
 
 impl Span {
-    /// Returns a span of `ms` milliseconds.
+    /// Returns a span of `ms` milliseconds, or the longest span.
     #[must_use]
     pub const fn millis(ms: u64) -> Self {
-        Self(ms * 1_000)
+        Self(ms.saturating_mul(1_000))
     }
 
-    /// Returns a span of `s` seconds.
+    /// Returns a span of `s` seconds, or the longest span.
     #[must_use]
     pub const fn secs(s: u64) -> Self {
-        Self(s * 1_000_000)
+        Self(s.saturating_mul(1_000_000))
     }
 
     /// Returns the span in whole milliseconds.
--- a/crates/config/src/site.rs
+++ b/crates/config/src/site.rs
@@ -282,10 +282,10 @@
     /// are zero. `random` is a uniformly distributed random number.
     #[must_use]
     pub fn pick_target(&self, random: u64) -> Option<&str> {
-        let total: u64 = self.targets.iter().map(|target| target.weight).sum();
-        let mut offset = random.checked_rem(total)?;
+        let weights = self.targets.iter().map(|target| u128::from(target.weight));
+        let mut offset = u128::from(random).checked_rem(weights.sum())?;
         for target in &self.targets {
-            match offset.checked_sub(target.weight) {
+            match offset.checked_sub(target.weight.into()) {
                 Some(rest) => offset = rest,
                 None => return Some(&target.service),
             }
