platform: announcements of other writers are bounded and checked

Callers saw: an entry that isn't an engine's stopped sound ones (LOST), or the process ended for lack of memory.

Cause: a deregistration that can't be read, or with a `born` of another type, counted as one without `born` and removed the engine. `born` of another type counted as missing. Port 0, unspecified, broadcast and multicast addresses, names and bodies of any length, starts and sequence numbers up to 2^64-1 were taken; the last make an engine's own later heartbeats look old. A body of 14 MB is decoded into ten times as much memory.

Change: such an announcement or deregistration names no engine and changes nothing; the others hold. `born` may still be missing.

Shown not to happen: deep nesting, 1e400, 2^64, negative numbers, ports out of range and `slots` of 0 or 2^32-1 never ended the process or stopped it from following others; in a configuration they are refused with 400, or ignored in fields that aren't read, and the one in force holds.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -30,8 +30,12 @@
 /// Maximum length of a request head, in bytes.
 const MAX_HEAD_BYTES: usize = 16 << 10;
 
-/// Maximum length of a request body, in bytes: a configuration with thousands of routes.
-const MAX_BODY_BYTES: usize = 16 << 20;
+/// Maximum length of a configuration, in bytes: thousands of routes.
+const MAX_CONFIG_BYTES: usize = 16 << 20;
+
+/// Maximum length of any other request body, in bytes. Those that are too long to be decoded
+/// are still answered, within this bound.
+const MAX_BODY_BYTES: usize = 256 << 10;
 
 /// Maximum time that a connection waits for a complete request.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
@@ -101,7 +105,11 @@
             return None;
         }
     };
-    if matches!(head.framing, Framing::Length(length) if length > MAX_BODY_BYTES as u64) {
+    let max_bytes = match ControlRequest::parse(&head) {
+        ControlRequest::SubmitConfig => MAX_CONFIG_BYTES,
+        _ => MAX_BODY_BYTES,
+    };
+    if matches!(head.framing, Framing::Length(length) if length > max_bytes as u64) {
         return None;
     }
     let mut decoder = BodyDecoder::new(head.framing);
@@ -112,7 +120,7 @@
         if decoder.is_complete() {
             return Some((head, body));
         }
-        if body.len() > MAX_BODY_BYTES || conn.fill().await.ok()? == 0 {
+        if body.len() > max_bytes || conn.fill().await.ok()? == 0 {
             return None;
         }
     }
@@ -158,7 +166,10 @@
     );
     let mut state = shared.state();
     let update = state.directory.apply_announcement(announcement, now);
-    if update != DirectoryUpdate::Stale {
+    if matches!(
+        update,
+        DirectoryUpdate::Refreshed | DirectoryUpdate::Changed
+    ) {
         state.queue_announcement(id);
     }
     if update == DirectoryUpdate::Changed {
@@ -174,7 +185,13 @@
 
 fn handle_deregistration(shared: &Arc<ProcessContext>, id: &str, body: &[u8]) -> (u16, Vec<u8>) {
     let now = shared.now();
-    let started_ms = announce::parse_deregistration(body);
+    let started_ms = match announce::parse_deregistration(body) {
+        Ok(started_ms) => started_ms,
+        Err(error) => {
+            log::warn!("engine: event=left engine={id} outcome=unreadable reason=\"{error}\"");
+            return (200, b"{}".to_vec());
+        }
+    };
     let mut state = shared.state();
     let removed = state.directory.mark_gone(id, started_ms, now);
     let known = removed.is_some();
