gateway, ledger: only an engine's statement refunds a request that was left

Cause: when a caller left before an answer, an engine's close in order without a byte was taken for proof that the request hadn't begun, and the charge was refunded. An engine that ran the request and lost its answer closes in the same way.

Change: only `Not-Executed` or status 421, in an answer that bears the request's identifier, refunds the charge; anything else costs what the request may have cost. What a request costs, from what is known of its work, is decided in one pure place, `ledger::cost`.

--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -33,6 +33,7 @@
 use futures_lite::FutureExt as _;
 use http::RequestHead;
 use http::ResponseHead;
+use ledger::Work;
 use platform::headers;
 use platform::headers::UpstreamRequest;
 use routing::RequestMetadata;
@@ -332,7 +333,7 @@
             let id = self.request.metadata.id.as_deref().unwrap_or("-");
             match outcome {
                 AttemptOutcome::Complete => {
-                    self.set_charge(true, 0);
+                    self.set_charge(Work::Events(self.event_count));
                     self.record_answer();
                     self.log_completed(&engine);
                     return Ok(RequestOutcome::Complete);
--- a/crates/gateway/src/forwarding/cancellation.rs
+++ b/crates/gateway/src/forwarding/cancellation.rs
@@ -1,4 +1,5 @@
-//! Cancels a request at its engine and finds out whether the engine had begun to answer it.
+//! Cancels a request at its engine and finds out whether the engine states that it didn't run
+//! it.
 
 use std::net::Shutdown;
 use std::ops::Deref;
@@ -11,10 +12,8 @@
 use async_io::Timer;
 use futures_lite::FutureExt as _;
 use platform::headers;
-use platform::headers::Execution;
 
 use super::answer;
-use super::answer::AnswerError;
 use crate::conn::Conn;
 
 /// Maximum wait for an engine to drop a request whose connection was shut down; after it
@@ -85,17 +84,14 @@
 
 /// Cancels the request `id` on its connection, on which no byte of an answer was read yet.
 ///
-/// Returns whether the engine never began to answer: it says so, or it closes the connection
-/// in order and without a byte. What it had sent before would arrive before its own close.
+/// Returns whether the engine states that it didn't run the request. A close states nothing,
+/// whoever closes first: the engine may have run the request and dropped its answer.
 pub async fn cancel_unstarted(mut conn: Conn, id: Option<&str>) -> bool {
     conn.shutdown(Shutdown::Write);
     let ended = async {
         // The method decides only how a body is framed.
-        match answer::read_head(&mut conn, "POST", id).await {
-            Ok(head) => headers::execution(&head, id) == Execution::NotExecuted,
-            Err(AnswerError::Closed) => conn.buf.is_empty(),
-            Err(_) => false,
-        }
+        let answer = answer::read_head(&mut conn, "POST", id).await;
+        answer.is_ok_and(|head| headers::execution(&head, id).is_not_run())
     };
     let timed_out = async {
         Timer::after(CANCEL_TIMEOUT).await;
--- a/crates/gateway/src/forwarding/charging.rs
+++ b/crates/gateway/src/forwarding/charging.rs
@@ -4,6 +4,8 @@
 use async_io::Timer;
 use base::Span;
 use futures_lite::FutureExt as _;
+use ledger::RequestTokens;
+use ledger::Work;
 use ledger::grants::ChargeError;
 
 use super::RequestForwarder;
@@ -19,10 +21,6 @@
 /// remaining tokens: several peers are asked in turn, and then once more.
 const BORROW_TIMEOUT: Span = Span::millis(120);
 
-/// Maximum number of events that may be in flight when a stream is aborted; they are
-/// charged as delivered.
-const MAX_IN_FLIGHT_EVENTS: u64 = 2;
-
 impl<'a> RequestForwarder<'a> {
     /// Charges the maximum number of tokens that the request may use; waits for a grant
     /// if the held grants don't cover them.
@@ -87,28 +85,32 @@
         }
     }
 
-    /// Updates the charge to the tokens that the request has used so far.
+    /// Updates the charge to what the request may have used so far; `running` states that an
+    /// engine has it now.
     ///
     /// It's updated while the request runs, because the request is dropped immediately
     /// when its caller disconnects.
     pub(super) fn update_charge(&mut self, running: bool) {
-        self.set_charge(self.execution_count > 0 || running, MAX_IN_FLIGHT_EVENTS);
+        let work = if running || self.execution_count > 0 {
+            Work::Unknown(self.event_count)
+        } else {
+            Work::NotRun
+        };
+        self.set_charge(work);
     }
 
-    /// Sets the charge to the tokens used if the request was `executed`, where up to
-    /// `in_flight_events` may have arrived in addition to those counted.
-    pub(super) fn set_charge(&mut self, executed: bool, in_flight_events: u64) {
-        let event_count = self.event_count + in_flight_events;
+    /// Sets the charge to what the request costs, from what is known of its work.
+    pub(super) fn set_charge(&mut self, work: Work) {
         if let Some(guard) = &mut self.charge {
             let metadata = &self.request.metadata;
-            let output = (event_count * self.event_tokens).min(metadata.max_output);
+            let tokens = RequestTokens {
+                prompt: metadata.prompt_tokens,
+                max_output: metadata.max_output,
+                per_event: self.event_tokens,
+            };
             guard.started |= self.execution_count > 0;
             guard.charge.events = self.event_count;
-            guard.charge.used = if executed {
-                metadata.prompt_tokens + output
-            } else {
-                0
-            };
+            guard.charge.used = tokens.cost(work);
         }
     }
 }
--- a/crates/gateway/src/forwarding/guards.rs
+++ b/crates/gateway/src/forwarding/guards.rs
@@ -12,7 +12,7 @@
 use crate::state::ProcessContext;
 
 /// A charge against a team's budget, settled when dropped. If the request is dropped before
-/// its engine has begun to answer, the engine is asked first.
+/// its engine has begun to answer, the engine may still state that it didn't run it.
 pub struct ChargeGuard<'a> {
     /// The state of the process.
     pub shared: &'a Arc<ProcessContext>,
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -8,6 +8,7 @@
 //!
 //! - [`accounts`]: the replicated [`Ledger`], changed by committed [`Command`]s.
 //! - [`allowance`]: one total for each team, granted to entries under leases.
+//! - [`cost`]: what a request costs, from what is known of its work.
 //! - [`dedup`]: the deduplication window of billed requests.
 //! - [`grants`]: an entry's grants for each team and its charges.
 //! - [`lease_budget`]: an entry's [`LeaseBudget`] of grants and reservations.
@@ -20,6 +21,7 @@
 
 pub mod accounts;
 pub mod allowance;
+pub mod cost;
 pub mod dedup;
 pub mod grants;
 pub mod lease_budget;
@@ -37,6 +39,8 @@
 pub use crate::accounts::Outcome;
 pub use crate::accounts::Posting;
 pub use crate::allowance::Allowances;
+pub use crate::cost::RequestTokens;
+pub use crate::cost::Work;
 pub use crate::grants::Grants;
 pub use crate::lease_budget::LeaseBudget;
 pub use crate::reclaim::LeaseHolders;
