gateway: the deadline also bounds sending a body to an engine

Seen by reading: the body of a request was written to its engine without a bound. An engine that reads slowly kept a request, its body and its caller's connection far beyond the deadline; one that doesn't read at all was ended by the TCP user timeout only.

Change: the time of an attempt covers the write and the answer.

--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -556,25 +556,23 @@
         self.reuse = ConnectionReuse::Close;
         self.engine_closed = false;
         let mut fully_sent = false;
-        let writing = async {
-            let result = conn.write_all(&out).await;
-            fully_sent = result.is_ok();
-        };
-        // An engine may respond before it has received the whole body.
-        writing.or(conn.wait_readable()).await;
-        drop(out);
         let timeout = self.attempt_timeout();
         let timed_out = async {
             Timer::after(timeout.into()).await;
             None
         };
-        let reading = async {
-            Some(
-                self.read_response(&mut conn, &mut guard, sent_at, caller)
-                    .await,
-            )
+        let exchange = async {
+            let writing = async {
+                let result = conn.write_all(&out).await;
+                fully_sent = result.is_ok();
+            };
+            // An engine may respond before it has received the whole body.
+            writing.or(conn.wait_readable()).await;
+            drop(out);
+            let reading = self.read_response(&mut conn, &mut guard, sent_at, caller);
+            Some(reading.await)
         };
-        let outcome = reading
+        let outcome = exchange
             .or(timed_out)
             .await
             .unwrap_or(AttemptOutcome::TimedOut);
