gateway, ledger: an answer without events is charged at its most

Seen by reading: an answer without events to a request that states tokens was charged for its prompt only. Its output was free, whatever its length.

Change: the output of such a success can't be counted, so it costs the maximum that the request states, also while it's being sent. Answers with a failure still cost the prompt.

--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -33,7 +33,6 @@
 use futures_lite::FutureExt as _;
 use http::RequestHead;
 use http::ResponseHead;
-use ledger::Work;
 use platform::headers;
 use platform::headers::UpstreamRequest;
 use routing::RequestMetadata;
@@ -134,6 +133,8 @@
     /// The identifier of the last event that the caller has received.
     last_event: Option<String>,
     event_count: u64,
+    /// Whether an answer without events is sent to the caller as a success.
+    eventless_answer: bool,
     tried_engines: Vec<u64>,
     /// Whether the last engine closed its connection before it had answered.
     engine_closed: bool,
@@ -277,6 +278,7 @@
         reply,
         last_event: request.metadata.last_event.clone(),
         event_count: 0,
+        eventless_answer: false,
         tried_engines: Vec::new(),
         engine_closed: false,
         execution_count: 0,
@@ -333,7 +335,7 @@
             let id = self.request.metadata.id.as_deref().unwrap_or("-");
             match outcome {
                 AttemptOutcome::Complete => {
-                    self.set_charge(Work::Events(self.event_count));
+                    self.set_charge(self.answered_work());
                     self.record_answer();
                     self.log_completed(&engine);
                     return Ok(RequestOutcome::Complete);
--- a/crates/gateway/src/forwarding/charging.rs
+++ b/crates/gateway/src/forwarding/charging.rs
@@ -91,7 +91,9 @@
     /// It's updated while the request runs, because the request is dropped immediately
     /// when its caller disconnects.
     pub(super) fn update_charge(&mut self, running: bool) {
-        let work = if running || self.execution_count > 0 {
+        let work = if self.eventless_answer {
+            Work::Eventless
+        } else if running || self.execution_count > 0 {
             Work::Unknown(self.event_count)
         } else {
             Work::NotRun
@@ -99,6 +101,15 @@
         self.set_charge(work);
     }
 
+    /// Returns what is known of the work on a request whose whole answer was sent.
+    pub(super) fn answered_work(&self) -> Work {
+        if self.eventless_answer {
+            Work::Eventless
+        } else {
+            Work::Events(self.event_count)
+        }
+    }
+
     /// Sets the charge to what the request costs, from what is known of its work.
     pub(super) fn set_charge(&mut self, work: Work) {
         if let Some(guard) = &mut self.charge {
--- a/crates/gateway/src/forwarding/response.rs
+++ b/crates/gateway/src/forwarding/response.rs
@@ -73,6 +73,11 @@
         if head.status >= 500 {
             return AttemptOutcome::ErrorResponse(head, body);
         }
+        if head.status < 300 {
+            // The caller may leave while it receives the answer.
+            self.eventless_answer = true;
+            self.update_charge(true);
+        }
         match self.write_response(&head, &body, caller).await {
             RequestOutcome::Complete | RequestOutcome::CompleteAndClose => AttemptOutcome::Complete,
             RequestOutcome::Aborted => AttemptOutcome::Aborted,
--- a/crates/ledger/src/cost.rs
+++ b/crates/ledger/src/cost.rs
@@ -27,6 +27,8 @@
     Unknown(u64),
     /// An engine has answered it with this number of events.
     Events(u64),
+    /// An engine has answered it without events, so that its output can't be counted.
+    Eventless,
 }
 
 impl RequestTokens {
@@ -43,6 +45,7 @@
             Work::NotRun => return 0,
             Work::Unknown(events) => events.saturating_add(MAX_IN_FLIGHT_EVENTS),
             Work::Events(events) => events,
+            Work::Eventless => return self.max_cost(),
         };
         let output = events.saturating_mul(self.per_event);
         self.prompt.saturating_add(output.min(self.max_output))
--- a/crates/ledger/tests/day.rs
+++ b/crates/ledger/tests/day.rs
@@ -351,5 +351,6 @@
     assert_eq!(tokens.cost(Work::Unknown(0)), 106);
     assert_eq!(tokens.cost(Work::Unknown(50)), 130);
     assert_eq!(tokens.cost(Work::Events(4)), 112);
+    assert_eq!(tokens.cost(Work::Eventless), 130);
     assert!(tokens.cost(Work::Unknown(u64::MAX)) <= tokens.max_cost());
 }
