gateway: an interim response doesn't end the sending of a body

Callers saw: 504 at the deadline. As soon as any byte came from an engine, the gateway stopped sending the request's body. After an interim response (status 1xx) the engine waited for the rest of it.

Change: the body is sent while the answer is read (`Conn::writer`), and until the answer is whole.

Evidence: `interim_responses_do_not_end_the_body` (platform/tests/bodies.rs) failed before with 504; all of platform's tests pass.

--- a/crates/gateway/src/conn.rs
+++ b/crates/gateway/src/conn.rs
@@ -9,6 +9,7 @@
 use std::net::Shutdown;
 use std::net::SocketAddrV4;
 use std::net::TcpStream;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_io::Async;
@@ -34,13 +35,40 @@
 /// A TCP connection.
 #[derive(Debug)]
 pub struct Conn {
-    stream: Async<TcpStream>,
+    stream: Arc<Async<TcpStream>>,
     /// Received bytes that aren't consumed yet.
     pub buf: Vec<u8>,
     /// Number of reads since the last wait.
     eager_reads: u32,
 }
 
+/// The sending side of a connection.
+#[derive(Debug)]
+pub struct ConnWriter(Arc<Async<TcpStream>>);
+
+impl ConnWriter {
+    /// Writes all of `bytes`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks.
+    pub async fn write_all(&self, bytes: &[u8]) -> io::Result<()> {
+        write_all(&self.0, bytes).await
+    }
+}
+
+async fn write_all(stream: &Async<TcpStream>, bytes: &[u8]) -> io::Result<()> {
+    let mut remaining = bytes;
+    while !remaining.is_empty() {
+        let written = stream.write_with(|mut s| s.write(remaining)).await?;
+        if written == 0 {
+            return Err(io::ErrorKind::WriteZero.into());
+        }
+        remaining = &remaining[written..];
+    }
+    Ok(())
+}
+
 impl Conn {
     /// Wraps an accepted or connected stream.
     #[must_use]
@@ -50,7 +78,7 @@
         let _ = socket.set_tcp_nodelay(true);
         let _ = socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
         Self {
-            stream,
+            stream: Arc::new(stream),
             buf: Vec::new(),
             eager_reads: 0,
         }
@@ -131,21 +159,13 @@
     ///
     /// Fails if the connection breaks.
     pub async fn write_all(&self, bytes: &[u8]) -> io::Result<()> {
-        let mut remaining = bytes;
-        while !remaining.is_empty() {
-            let written = self.stream.write_with(|mut s| s.write(remaining)).await?;
-            if written == 0 {
-                return Err(io::ErrorKind::WriteZero.into());
-            }
-            remaining = &remaining[written..];
-        }
-        Ok(())
+        write_all(&self.stream, bytes).await
     }
 
-    /// Waits until bytes can be read or the connection has ended.
-    pub async fn wait_readable(&self) {
-        // The next read reports the error.
-        let _ = self.stream.readable().await;
+    /// Returns the sending side, to write while the connection is read.
+    #[must_use]
+    pub fn writer(&self) -> ConnWriter {
+        ConnWriter(Arc::clone(&self.stream))
     }
 
     /// Returns whether the connection is open and has no unread bytes.
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -31,6 +31,7 @@
 use config::site::Route;
 use config::site::SiteIndex;
 use futures_lite::FutureExt as _;
+use futures_lite::future;
 use http::RequestHead;
 use http::ResponseHead;
 use platform::headers;
@@ -563,18 +564,20 @@
             Timer::after(timeout.into()).await;
             None
         };
-        let exchange = async {
-            let writing = async {
-                let result = conn.write_all(&out).await;
-                fully_sent = result.is_ok();
-            };
-            // An engine may respond before it has received the whole body.
-            writing.or(conn.wait_readable()).await;
+        let writer = conn.writer();
+        // An engine may respond before it has received the whole body, and interim responses
+        // may come meanwhile.
+        let writing = async {
+            fully_sent = writer.write_all(&out).await.is_ok();
             drop(out);
-            let reading = self.read_response(&mut conn, &mut guard, sent_at, caller);
-            Some(reading.await)
+            future::pending().await
+        };
+        let reading = async {
+            let outcome = self.read_response(&mut conn, &mut guard, sent_at, caller);
+            Some(outcome.await)
         };
-        let outcome = exchange
+        let outcome = writing
+            .or(reading)
             .or(timed_out)
             .await
             .unwrap_or(AttemptOutcome::TimedOut);
