--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -3,20 +3,24 @@
 //!
 //! Its inputs are a request and its caller's connection.
 //!
+//! - [`answer`]: the head of an engine's answer, if it's about the request.
 //! - [`availability`]: what engines say of themselves, and whether they take requests.
 //! - [`cancellation`]: cancels a request at its engine.
 //! - [`charging`]: charges a request to its team's budget.
 //! - [`crashes`]: requests whose engine crashed.
 //! - [`guards`]: guards that release a charge and an engine's load when dropped.
 //! - [`rejection`]: the causes for which the gateway rejects a request.
+//! - [`reply`]: the response to the caller, with one head.
 //! - [`response`]: an engine's response, buffered or streamed to the caller.
 
+mod answer;
 mod availability;
 mod cancellation;
 mod charging;
 mod crashes;
 mod guards;
 mod rejection;
+mod reply;
 mod response;
 
 use std::io;
@@ -29,6 +33,7 @@
 use config::site::Route;
 use config::site::SiteIndex;
 use futures_lite::FutureExt as _;
+use futures_lite::future;
 use http::RequestHead;
 use http::ResponseHead;
 use platform::headers;
@@ -45,6 +50,7 @@
 use self::guards::ChargeGuard;
 use self::guards::DispatchGuard;
 use self::rejection::RejectionCause;
+use self::reply::CallerReply;
 use crate::conn::Conn;
 use crate::connection_pool;
 use crate::state::ProcessContext;
@@ -125,11 +131,13 @@
     /// The number of tokens per event.
     event_tokens: u64,
     deadline: Time,
-    /// Whether the head of a response was sent to the caller.
-    head_sent: bool,
+    /// The response to the caller.
+    reply: &'a mut CallerReply,
     /// The identifier of the last event that the caller has received.
     last_event: Option<String>,
     event_count: u64,
+    /// Whether an answer without events is sent to the caller as a success.
+    eventless_answer: bool,
     tried_engines: Vec<u64>,
     /// Whether the last engine closed its connection before it had answered.
     engine_closed: bool,
@@ -177,10 +185,11 @@
         let overdue = state.is_config_overdue(&shared.settings, shared.now());
         (state.site_index.clone(), overdue)
     };
+    let mut reply = CallerReply::new(request.close);
     let outcome = match &site {
         None => Err(RejectionCause::Unconfigured),
         Some(_) if overdue => Err(RejectionCause::StaleConfig),
-        Some(site) => admit(shared, site, request, caller).await,
+        Some(site) => admit(shared, site, request, &mut reply, caller).await,
     };
     let cause = match outcome {
         Ok(outcome) => return outcome,
@@ -221,7 +230,10 @@
         retry_after_ms,
         close,
     };
-    headers::write_rejection(&mut out, &rejection);
+    let Some(unsent) = reply.unsent_head() else {
+        return RequestOutcome::Aborted;
+    };
+    unsent.write_rejection(&mut out, &rejection);
     match caller.write_all(&out).await {
         Ok(()) if close => RequestOutcome::CompleteAndClose,
         Ok(()) => RequestOutcome::Complete,
@@ -233,6 +245,7 @@
     shared: &Arc<ProcessContext>,
     site: &SiteIndex,
     request: &Request,
+    reply: &mut CallerReply,
     caller: &Conn,
 ) -> Result<RequestOutcome, RejectionCause> {
     let head = &request.head;
@@ -272,9 +285,10 @@
             .unwrap_or(route.priority),
         event_tokens: backend.map_or(1, |backend| u64::from(backend.event_tokens)),
         deadline,
-        head_sent: false,
+        reply,
         last_event: request.metadata.last_event.clone(),
         event_count: 0,
+        eventless_answer: false,
         tried_engines: Vec::new(),
         engine_closed: false,
         execution_count: 0,
@@ -331,7 +345,7 @@
             let id = self.request.metadata.id.as_deref().unwrap_or("-");
             match outcome {
                 AttemptOutcome::Complete => {
-                    self.set_charge(true, 0);
+                    self.set_charge(self.answered_work());
                     self.record_answer();
                     self.log_completed(&engine);
                     return Ok(RequestOutcome::Complete);
@@ -423,8 +437,8 @@
     fn may_execute_again(&self) -> bool {
         self.execution_count < self.route.max_attempts
             && match self.route.retry_policy {
-                RetryPolicy::Idempotent => !self.head_sent,
-                RetryPolicy::ResumeStream => !self.head_sent || self.last_event.is_some(),
+                RetryPolicy::Idempotent => !self.reply.head_sent(),
+                RetryPolicy::ResumeStream => !self.reply.head_sent() || self.last_event.is_some(),
                 RetryPolicy::AtMostOnce => false,
             }
     }
@@ -448,7 +462,7 @@
         error_response: Option<(ResponseHead, Vec<u8>)>,
         caller: &Conn,
     ) -> Result<RequestOutcome, RejectionCause> {
-        if self.head_sent {
+        if self.reply.head_sent() {
             self.log_aborted("none_left");
             return Ok(RequestOutcome::Aborted);
         }
@@ -525,7 +539,11 @@
             failed: false,
         };
         let now = self.shared.now();
-        let idle_conn = self.shared.state().connections.acquire(engine.address, now);
+        // Without an identifier, a late answer to an earlier request couldn't be told apart.
+        let idle_conn = self.request.metadata.id.as_ref().and_then(|_| {
+            let mut state = self.shared.state();
+            state.connections.acquire(engine.address, now)
+        });
         let conn = match idle_conn {
             Some(conn) => conn,
             None => {
@@ -564,25 +582,25 @@
         self.reuse = ConnectionReuse::Close;
         self.engine_closed = false;
         let mut fully_sent = false;
-        let writing = async {
-            let result = conn.write_all(&out).await;
-            fully_sent = result.is_ok();
-        };
-        // An engine may respond before it has received the whole body.
-        writing.or(conn.wait_readable()).await;
-        drop(out);
         let timeout = self.attempt_timeout();
         let timed_out = async {
             Timer::after(timeout.into()).await;
             None
         };
+        let writer = conn.writer();
+        // An engine may respond before it has received the whole body, and interim responses
+        // may come meanwhile.
+        let writing = async {
+            fully_sent = writer.write_all(&out).await.is_ok();
+            drop(out);
+            future::pending().await
+        };
         let reading = async {
-            Some(
-                self.read_response(&mut conn, &mut guard, sent_at, caller)
-                    .await,
-            )
+            let outcome = self.read_response(&mut conn, &mut guard, sent_at, caller);
+            Some(outcome.await)
         };
-        let outcome = reading
+        let outcome = writing
+            .or(reading)
             .or(timed_out)
             .await
             .unwrap_or(AttemptOutcome::TimedOut);
--- a/crates/gateway/src/forwarding/cancellation.rs
+++ b/crates/gateway/src/forwarding/cancellation.rs
@@ -1,4 +1,5 @@
-//! Cancels a request at its engine and finds out whether the engine had begun to answer it.
+//! Cancels a request at its engine and finds out whether the engine states that it didn't run
+//! it.
 
 use std::net::Shutdown;
 use std::ops::Deref;
@@ -10,11 +11,9 @@
 
 use async_io::Timer;
 use futures_lite::FutureExt as _;
-use http::ResponseHead;
 use platform::headers;
-use platform::headers::Execution;
 
-use super::response::MAX_HEAD_BYTES;
+use super::answer;
 use crate::conn::Conn;
 
 /// Maximum wait for an engine to drop a request whose connection was shut down; after it
@@ -85,26 +84,14 @@
 
 /// Cancels the request `id` on its connection, on which no byte of an answer was read yet.
 ///
-/// Returns whether the engine never began to answer: it says so, or it closes the connection
-/// in order and without a byte. What it had sent before would arrive before its own close.
+/// Returns whether the engine states that it didn't run the request. A close states nothing,
+/// whoever closes first: the engine may have run the request and dropped its answer.
 pub async fn cancel_unstarted(mut conn: Conn, id: Option<&str>) -> bool {
     conn.shutdown(Shutdown::Write);
     let ended = async {
-        loop {
-            // The method decides only how a body is framed.
-            match ResponseHead::parse(&conn.buf, MAX_HEAD_BYTES, "POST") {
-                Ok(Some((head, _))) => {
-                    return headers::execution(&head, id) == Execution::NotExecuted;
-                }
-                Ok(None) => {}
-                Err(_) => return false,
-            }
-            match conn.fill().await {
-                Ok(0) => return conn.buf.is_empty(),
-                Ok(_) => {}
-                Err(_) => return false,
-            }
-        }
+        // The method decides only how a body is framed.
+        let answer = answer::read_head(&mut conn, "POST", id).await;
+        answer.is_ok_and(|head| headers::execution(&head, id).is_not_run())
     };
     let timed_out = async {
         Timer::after(CANCEL_TIMEOUT).await;
--- a/crates/gateway/src/forwarding/response.rs
+++ b/crates/gateway/src/forwarding/response.rs
@@ -14,15 +14,11 @@
 use super::ConnectionReuse;
 use super::RequestForwarder;
 use super::RequestOutcome;
+use super::answer;
+use super::answer::AnswerError;
 use super::guards::DispatchGuard;
 use crate::conn::Conn;
 
-/// Maximum length of the head of an engine's response, in bytes.
-pub(super) const MAX_HEAD_BYTES: usize = 64 << 10;
-
-/// Maximum number of interim responses (status 1xx) before a response.
-const MAX_INTERIM_RESPONSES: usize = 16;
-
 /// Maximum length of one event, and of what isn't an event between two of them, in bytes.
 const MAX_EVENT_BYTES: usize = 256 << 10;
 
@@ -38,40 +34,31 @@
         sent_at: Time,
         caller: &Conn,
     ) -> AttemptOutcome {
-        let mut interim_responses = 0;
-        let head = loop {
-            match ResponseHead::parse(&conn.buf, MAX_HEAD_BYTES, &self.request.head.method) {
-                Ok(Some((head, length))) => {
-                    conn.consume(length);
-                    if head.status >= 200 {
-                        break head;
-                    }
-                    interim_responses += 1;
-                    if interim_responses > MAX_INTERIM_RESPONSES {
-                        return AttemptOutcome::Failed;
-                    }
-                    continue;
+        let request = self.request;
+        let id = request.metadata.id.as_deref();
+        let head = match answer::read_head(conn, &request.head.method, id).await {
+            Ok(head) => head,
+            Err(error) => {
+                self.engine_closed = error.is_disconnect();
+                if !self.engine_closed {
+                    self.log_unusable(error);
                 }
-                Ok(None) => {}
-                Err(_) => return AttemptOutcome::Failed,
-            }
-            match conn.fill().await {
-                Ok(0) | Err(_) => {
-                    self.engine_closed = true;
-                    return AttemptOutcome::Failed;
-                }
-                Ok(_) => {}
+                return AttemptOutcome::Failed;
             }
         };
         self.record_notice(guard, &head);
-        match headers::execution(&head, self.request.metadata.id.as_deref()) {
+        match headers::execution(&head, id) {
             Execution::Executed => self.mark_started(),
             Execution::NotExecuted | Execution::WrongInstance => {
                 return AttemptOutcome::NotExecuted;
             }
             Execution::Unverified => return AttemptOutcome::Failed,
         }
-        if head.status < 300 && headers::is_event_stream(&head) {
+        let is_stream = head.status < 300 && headers::is_event_stream(&head);
+        if self.reply.head_sent() && !is_stream {
+            return AttemptOutcome::Failed;
+        }
+        if is_stream {
             return self
                 .forward_stream(conn, guard, sent_at, &head, caller)
                 .await;
@@ -87,12 +74,22 @@
         if head.status >= 500 {
             return AttemptOutcome::ErrorResponse(head, body);
         }
+        if head.status < 300 {
+            // The caller may leave while it receives the answer.
+            self.eventless_answer = true;
+            self.update_charge(true);
+        }
         match self.write_response(&head, &body, caller).await {
             RequestOutcome::Complete | RequestOutcome::CompleteAndClose => AttemptOutcome::Complete,
             RequestOutcome::Aborted => AttemptOutcome::Aborted,
         }
     }
 
+    fn log_unusable(&self, error: AnswerError) {
+        let id = self.request.metadata.id.as_deref().unwrap_or("-");
+        log::warn!("request: id={id} event=answer outcome=unusable reason=\"{error}\"");
+    }
+
     /// Marks the connection as reusable if the engine keeps it open and no bytes are unread.
     fn update_reuse(&mut self, conn: &Conn, head: &ResponseHead) {
         if !head.connection_close && conn.buf.is_empty() {
@@ -108,9 +105,10 @@
         caller: &Conn,
     ) -> RequestOutcome {
         let mut out = Vec::with_capacity(512 + body.len());
-        headers::write_response(&mut out, head, Some(body.len() as u64), self.request.close);
-        out.extend_from_slice(body);
-        self.head_sent = true;
+        let Some(unsent) = self.reply.unsent_head() else {
+            return RequestOutcome::Aborted;
+        };
+        unsent.write_whole(&mut out, head, body);
         match caller.write_all(&out).await {
             Ok(()) => RequestOutcome::Complete,
             Err(_) => RequestOutcome::Aborted,
@@ -130,6 +128,8 @@
         let mut events = Vec::new();
         let mut out = Vec::new();
         let mut empty_bytes = 0;
+        // Events of this engine; those of earlier ones show nothing about its answer.
+        let mut own_events = 0;
         loop {
             match decoder.decode(&conn.buf, &mut events) {
                 Ok(consumed) => conn.consume(consumed),
@@ -149,6 +149,10 @@
                     self.first_event = Some(self.shared.now());
                 }
                 let (count, last_id) = event_stream::count_and_last_id(&events[..complete_len]);
+                if own_events == 0 && count > 0 && !self.may_follow(&events[..complete_len]) {
+                    return self.stream_failure();
+                }
+                own_events += count;
                 self.event_count += count as u64;
                 empty_bytes = if count > 0 {
                     0
@@ -169,6 +173,9 @@
                 }
                 return self.stream_failure();
             }
+            if is_complete && own_events == 0 && self.reply.head_sent() {
+                return self.stream_failure();
+            }
             if is_complete {
                 self.write_head_once(head, &mut out);
                 write_last_chunk(&mut out);
@@ -189,7 +196,7 @@
             }
             match conn.fill().await {
                 // Without a length, an end before the first event shows nothing.
-                Ok(0) if decoder.is_complete_at_eof() && self.event_count > 0 => {
+                Ok(0) if decoder.is_complete_at_eof() && own_events > 0 => {
                     decoder = BodyDecoder::new(http::Framing::None);
                 }
                 Ok(0) | Err(_) => {
@@ -201,18 +208,29 @@
         }
     }
 
+    /// Returns whether the first of these events, which begin an engine's answer, may follow
+    /// the last one that the caller has received.
+    fn may_follow(&self, events: &[u8]) -> bool {
+        let first = event_stream::first_id(events);
+        let resumed = self.reply.head_sent();
+        let resumable = resumed || self.route.retry_policy == RetryPolicy::ResumeStream;
+        match (first, &self.last_event) {
+            (Some(first), Some(last)) if resumable => event_stream::is_later(first, last),
+            _ => !resumed,
+        }
+    }
+
     /// Appends the head of the response to `out` unless it was sent already.
     fn write_head_once(&mut self, head: &ResponseHead, out: &mut Vec<u8>) {
-        if !self.head_sent {
-            headers::write_response(out, head, None, self.request.close);
-            self.head_sent = true;
+        if let Some(unsent) = self.reply.unsent_head() {
+            unsent.begin_stream(out, head);
         }
     }
 
     /// Returns the outcome of a broken stream: it can only be retried if the caller has
     /// received nothing or the stream can be resumed.
     fn stream_failure(&self) -> AttemptOutcome {
-        if self.head_sent && self.route.retry_policy != RetryPolicy::ResumeStream {
+        if self.reply.head_sent() && self.route.retry_policy != RetryPolicy::ResumeStream {
             return AttemptOutcome::Aborted;
         }
         AttemptOutcome::Failed
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -500,6 +500,8 @@
         }
         state.grants.discard_answers();
         let routes = site.routes.len();
+        let services = site.services.iter().map(|service| service.name.clone());
+        state.directory.set_services(services.collect());
         state.site_index = Some(Arc::new(SiteIndex::new(site)));
         let now = self.now();
         state.update_engine_pools(&self.settings, now);
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -75,6 +75,7 @@
             folder,
             address,
             quota_bytes: 1 << 20,
+            memory_bytes: 256 << 20,
             quorum_size: 3,
             output: Arc::new(|_| {}),
         };
