--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -214,6 +214,7 @@
 
     /// Returns whether the process has exited with another status than success, as
     /// [`Self::has_exited`] has found.
+    #[must_use]
     pub fn has_failed(&self) -> bool {
         self.lock().failed
     }
