soak: engines that leave or ask for pauses, by an option

Engines of the soak never said in an answer that they leave, nor asked for a pause with Retry-After, so that requests which they should not get went unseen.

With `--departures` (off by default) the oracle joins what callers sent through a process with what reaches an engine. It reports requests that reach an engine after the process passed on its farewell, and those within the time of a Retry-After.

--- a/crates/mulberryctl/src/command.rs
+++ b/crates/mulberryctl/src/command.rs
@@ -97,6 +97,11 @@
             options.optopt("", "jobs", "concurrent runs (1)", "N");
             options.optopt("", "seconds", "length of a run in seconds (15)", "N");
             options.optopt("", "callers", "concurrent callers in a run (12)", "N");
+            options.optflag(
+                "",
+                "departures",
+                "let engines leave, say so in their answers, and ask for pauses",
+            );
             options.optopt(
                 "",
                 "gateways",
@@ -141,6 +146,7 @@
                     None => std::env::current_exe()?.with_file_name("mulberryd"),
                 },
                 folder: matches.opt_str("keep").unwrap_or("soak".to_owned()).into(),
+                departures: matches.opt_present("departures"),
                 rollout: rollout_plan(matches)?,
             };
             soak_tool::run(&plan)
--- a/crates/mulberryctl/src/soak_tool.rs
+++ b/crates/mulberryctl/src/soak_tool.rs
@@ -34,6 +34,8 @@
     pub daemon: PathBuf,
     /// Folder for the files of failed runs.
     pub folder: PathBuf,
+    /// Whether engines leave and ask for pauses.
+    pub departures: bool,
     /// The rollout of large configurations, instead of the run with faults.
     pub rollout: Option<RolloutPlan>,
 }
@@ -61,6 +63,7 @@
         callers: plan.callers,
         daemon_path: plan.daemon.clone(),
         folder: soak::run::run_folder(&plan.folder, seed),
+        departures: plan.departures,
     })?;
     Ok((serde_json::json!(report), report.breaches.is_empty()))
 }
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -79,21 +79,23 @@
     /// Sends requests until `finished` is set.
     pub fn run(&self) {
         let mut rng = Rng::with_seed(self.seed ^ ((self.number as u64) << 32));
-        let mut idle_connection: Option<Connection> = None;
+        let mut idle_connection: Option<(usize, Connection)> = None;
         let mut count = 0;
         while !self.finished.load(Ordering::Relaxed) {
             count += 1;
             let id = format!("{:x}-{}-{count}", self.seed, self.number);
             let route = ROUTES[rng.usize(..ROUTES.len())];
             let team = TEAMS[usize::from(rng.u8(..8) == 0)].0;
-            let connection = idle_connection
-                .take()
-                .or_else(|| connect(self.addresses[rng.usize(..self.addresses.len())]));
-            if let Some(mut connection) = connection {
+            let connection = idle_connection.take().or_else(|| {
+                let process = rng.usize(..self.addresses.len());
+                Some((process, connect(self.addresses[process])?))
+            });
+            if let Some((process, mut connection)) = connection {
+                self.oracle.record_sent(&id, process);
                 let (outcome, reusable) =
                     send_request(&mut connection, &id, &route, team, &self.oracle);
                 self.oracle.record_outcome(&id, outcome, route.idempotent);
-                idle_connection = reusable.then_some(connection);
+                idle_connection = reusable.then_some((process, connection));
             }
             thread::sleep(Duration::from_millis(rng.u64(PAUSE_MS)));
         }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -1,6 +1,7 @@
 //! Runs real processes under seeded faults and checks the system's invariants meanwhile.
 //!
 //! - [`caller`]: callers that send requests, and the operator's calls.
+//! - [`departures`]: engines that leave or ask for a pause, and who sends to them.
 //! - [`engine`]: fake engines that report each run to the oracle.
 //! - [`link`]: a relay that emulates the links between processes.
 //! - [`logs`]: what the processes' logs say about configurations and leaders.
@@ -17,6 +18,7 @@
 //! - [`wire`]: HTTP messages over blocking sockets.
 
 pub mod caller;
+pub mod departures;
 pub mod engine;
 pub mod link;
 pub mod logs;
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -5,9 +5,13 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Instant;
 
 use serde::Serialize;
 
+use crate::departures::Departures;
+use crate::run::millis;
+
 /// Number of tokens in one event of a stream.
 pub const TOKENS_PER_EVENT: u64 = 3;
 
@@ -48,9 +52,21 @@
 }
 
 /// Checks the observations of all callers and engines against the invariants.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Oracle {
+    start: Instant,
     observations: Mutex<Observations>,
+    departures: Mutex<Departures>,
+}
+
+impl Default for Oracle {
+    fn default() -> Self {
+        Self {
+            start: Instant::now(),
+            observations: Mutex::default(),
+            departures: Mutex::default(),
+        }
+    }
 }
 
 impl Oracle {
@@ -60,6 +76,51 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn departures(&self) -> MutexGuard<'_, Departures> {
+        self.departures
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn now_ms(&self) -> u64 {
+        millis(self.start.elapsed())
+    }
+
+    /// Records that a caller sends a request to a process.
+    pub fn record_sent(&self, id: &str, process: usize) {
+        self.departures().send(id, process, self.now_ms());
+    }
+
+    /// Records that a request reaches an engine.
+    pub fn record_arrival(&self, id: &str, engine: &str) {
+        let breach = self.departures().arrive(id, engine, self.now_ms());
+        if let Some(text) = breach {
+            self.record_breach(text);
+        }
+    }
+
+    /// Records that a leaving engine answers a request.
+    pub fn record_leaving(&self, id: &str, engine: &str) {
+        self.departures().answer_leaving(id, engine);
+    }
+
+    /// Records that an engine turned a request away and wants none from its process for
+    /// `span_ms`.
+    pub fn record_turned_away(&self, id: &str, engine: &str, span_ms: u64) {
+        let now_ms = self.now_ms();
+        self.departures().turn_away(id, engine, span_ms, now_ms);
+    }
+
+    /// Records that a process is killed, stopped, suspended or started.
+    pub fn record_disturbance(&self, process: usize) {
+        self.departures().disturb(process);
+    }
+
+    /// Records that an engine starts again.
+    pub fn record_engine_start(&self, engine: &str) {
+        self.departures().restart(engine);
+    }
+
     /// Records a team's token total, before it is submitted; the highest total applies.
     pub fn set_total(&self, team: &str, total: u64) {
         let mut observations = self.observations();
@@ -98,6 +159,9 @@
 
     /// Records the outcome of a caller's request.
     pub fn record_outcome(&self, id: &str, outcome: RequestOutcome, idempotent: bool) {
+        if outcome == RequestOutcome::Answered {
+            self.departures().pass_on(id, self.now_ms());
+        }
         let mut observations = self.observations();
         match outcome {
             RequestOutcome::Answered => observations.counts.answered += 1,
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -69,6 +69,20 @@
     Slow,
 }
 
+impl Fault {
+    /// Returns the process that it disturbs.
+    #[must_use]
+    pub fn process(&self) -> Option<usize> {
+        match *self {
+            Self::Kill(process, _)
+            | Self::KillAndWipe(process, _)
+            | Self::Suspend(process, _)
+            | Self::Stop(process) => Some(process),
+            Self::Reload(_) | Self::Link(..) | Self::Configure(_) => None,
+        }
+    }
+}
+
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/soak/src/rollout.rs
+++ b/crates/soak/src/rollout.rs
@@ -31,6 +31,7 @@
 use crate::caller::ROUTE_HOST;
 use crate::caller::ROUTES;
 use crate::caller::TEAMS;
+use crate::engine::Conduct;
 use crate::engine::FakeEngine;
 use crate::link::LinkCounts;
 use crate::link::LinkEnd;
@@ -489,8 +490,9 @@
         let mut engines = Vec::new();
         for route in &ROUTES {
             let id = format!("engine-{}", route.name);
-            let engine = FakeEngine::spawn(id, route, false, &cluster.oracle)?;
-            engines.push(setup::announcement(&engine.id, route.name, engine.address));
+            let engine = FakeEngine::spawn(id, route, false, Conduct::Steady, &cluster.oracle)?;
+            let first = setup::announcement(&engine.id, route.name, engine.address);
+            engines.push((first, engine.lifetime));
         }
         setup::spawn_announcer(engines, control_at, &cluster.finished);
         cluster.check_unconfigured();
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -21,6 +21,7 @@
 use crate::caller::Caller;
 use crate::caller::ROUTES;
 use crate::caller::TEAMS;
+use crate::engine::Conduct;
 use crate::engine::FakeEngine;
 use crate::oracle::Oracle;
 use crate::oracle::OutcomeCounts;
@@ -57,6 +58,8 @@
     pub daemon_path: PathBuf,
     /// Directory for files; kept if an invariant was broken.
     pub folder: PathBuf,
+    /// Whether an engine leaves again and again, and another one asks for pauses.
+    pub departures: bool,
 }
 
 /// Why a run could not be completed.
@@ -175,9 +178,15 @@
             let route = ROUTES[number.saturating_sub(1)];
             let id = format!("engine-{number}");
             let faulty = !plan::is_planned_only(settings.seed);
-            let engine = FakeEngine::spawn(id, &route, faulty, &oracle)?;
+            let conduct = match number {
+                0 if settings.departures => Conduct::Leaves,
+                3 if settings.departures => Conduct::Pauses,
+                _ => Conduct::Steady,
+            };
+            let engine = FakeEngine::spawn(id, &route, faulty, conduct, &oracle)?;
             let proxy = Proxy::spawn(engine.address)?;
-            engines.push(setup::announcement(&engine.id, route.name, proxy.address));
+            let first = setup::announcement(&engine.id, route.name, proxy.address);
+            engines.push((first, engine.lifetime));
             proxies.push(proxy);
         }
         let count = processes.len();
@@ -288,6 +297,9 @@
     /// Injects a fault, except on a process that still has a pending recovery.
     fn inject(&mut self, fault: Fault) -> io::Result<()> {
         let now = Instant::now();
+        if let Some(process) = fault.process() {
+            self.oracle.record_disturbance(process);
+        }
         let after = |ms| now + Duration::from_millis(ms);
         match fault {
             Fault::Kill(index, ms) | Fault::KillAndWipe(index, ms)
@@ -330,6 +342,7 @@
             let Some((at, recovery)) = self.recoveries[index].filter(|(at, _)| now >= *at) else {
                 continue;
             };
+            self.oracle.record_disturbance(index);
             match recovery {
                 Recovery::Resume => self.processes[index].signal(Signal::CONT),
                 Recovery::Restart => self.start_process(index, false)?,
--- a/crates/soak/src/setup.rs
+++ b/crates/soak/src/setup.rs
@@ -17,6 +17,7 @@
 use routing::directory::Phase;
 
 use crate::caller;
+use crate::engine::Lifetime;
 use crate::run::millis;
 
 /// Interval between two announcements of an engine.
@@ -40,15 +41,22 @@
 /// Announces the engines periodically, each round starting at another process, until
 /// `finished` is set.
 pub fn spawn_announcer(
-    mut engines: Vec<EngineAnnouncement>,
+    mut engines: Vec<(EngineAnnouncement, Arc<Lifetime>)>,
     addresses: Vec<SocketAddrV4>,
     finished: &Arc<AtomicBool>,
 ) {
     let finished = Arc::clone(finished);
     thread::spawn(move || {
         let mut round = 0;
+        let mut restarts = vec![0; engines.len()];
         while !finished.load(Ordering::Relaxed) {
-            for announcement in &mut engines {
+            for ((announcement, lifetime), known) in engines.iter_mut().zip(&mut restarts) {
+                let current = lifetime.restarts.load(Ordering::Relaxed);
+                if *known != current {
+                    *known = current;
+                    announcement.started_ms = now_ms();
+                    announcement.sequence = 0;
+                }
                 announcement.sequence += 1;
                 let (path, body) = test_support::heartbeat(announcement);
                 for attempt in 0..addresses.len() {
@@ -68,11 +76,9 @@
 /// Returns the first announcement of an engine.
 #[must_use]
 pub fn announcement(id: &str, service: &str, address: SocketAddrV4) -> EngineAnnouncement {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
     EngineAnnouncement {
         id: id.to_owned(),
-        // Within one run, any value works if the clock is before 1970.
-        started_ms: since_epoch.map_or(1, millis),
+        started_ms: now_ms(),
         sequence: 0,
         service: service.to_owned(),
         address,
@@ -81,3 +87,11 @@
         phase: Phase::Ready,
     }
 }
+
+/// Returns the milliseconds since 1970.
+fn now_ms() -> u64 {
+    // Within one run, any value works if the clock is before 1970.
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(1, millis)
+}
