soak: series of stops, reloads and configurations that overlap

Planned operations came one at a time, and a process that was stopping was never told to reload. `--series` adds overlapping ones; SIGHUP is now sent in every state of a process, in all plans.

--- a/crates/mulberryctl/src/command.rs
+++ b/crates/mulberryctl/src/command.rs
@@ -102,6 +102,11 @@
                 "departures",
                 "let engines leave, say so in their answers, and ask for pauses",
             );
+            options.optflag(
+                "",
+                "series",
+                "add series of stops, reloads and configurations that overlap",
+            );
             options.optopt(
                 "",
                 "gateways",
@@ -147,6 +152,7 @@
                 },
                 folder: matches.opt_str("keep").unwrap_or("soak".to_owned()).into(),
                 departures: matches.opt_present("departures"),
+                series: matches.opt_present("series"),
                 rollout: rollout_plan(matches)?,
             };
             soak_tool::run(&plan)
--- a/crates/mulberryctl/src/soak_tool.rs
+++ b/crates/mulberryctl/src/soak_tool.rs
@@ -36,6 +36,8 @@
     pub folder: PathBuf,
     /// Whether engines leave and ask for pauses.
     pub departures: bool,
+    /// Whether planned operations also come in series that overlap.
+    pub series: bool,
     /// The rollout of large configurations, instead of the run with faults.
     pub rollout: Option<RolloutPlan>,
 }
@@ -64,6 +66,7 @@
         daemon_path: plan.daemon.clone(),
         folder: soak::run::run_folder(&plan.folder, seed),
         departures: plan.departures,
+        series: plan.series,
     })?;
     Ok((serde_json::json!(report), report.breaches.is_empty()))
 }
--- a/crates/mulberryd/tests/soak.rs
+++ b/crates/mulberryd/tests/soak.rs
@@ -16,6 +16,7 @@
         daemon_path: PathBuf::from(env!("CARGO_BIN_EXE_mulberryd")),
         folder: soak::run::run_folder(&base, seed),
         departures: false,
+        series: false,
     };
     let report = soak::run(&setup).expect("the processes serve");
     assert!(report.breaches.is_empty(), "{report:?}");
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -17,6 +17,9 @@
 /// Time for a process with a disk to catch up after a fault, in milliseconds.
 const CATCH_UP_MS: u64 = 2_500;
 
+/// Minimum time between the starts of two series of planned operations, in milliseconds.
+const SERIES_MS: u64 = 3_500;
+
 /// Time without faults at the start and at the end of a run, in milliseconds.
 const FAULT_FREE_MS: (u64, u64) = (1_500, 2_500);
 
@@ -154,6 +157,34 @@
     faults
 }
 
+/// Returns series of planned operations of `seed` within `duration_ms`: in each, processes
+/// without a disk stop one after the other, and these and others are told to reload and
+/// configurations are submitted meanwhile.
+#[must_use]
+pub fn series(seed: u64, duration_ms: u64) -> Vec<TimedFault> {
+    // Another sequence than that of the plan for the same seed.
+    let mut rng = Rng::with_seed(!seed);
+    let mut faults = Vec::new();
+    let mut start = FAULT_FREE_MS.0;
+    while start + SERIES_MS < duration_ms {
+        for process in DISK_PROCESS_COUNT..DISK_PROCESS_COUNT + DISKLESS_PROCESS_COUNT {
+            let stop_ms = start + rng.u64(..400);
+            faults.push((stop_ms, Fault::Stop(process)));
+            for _ in 0..2 {
+                faults.push((stop_ms + rng.u64(20..600), Fault::Reload(process)));
+            }
+        }
+        for _ in 0..3 {
+            let process = rng.usize(..DISK_PROCESS_COUNT);
+            faults.push((start + rng.u64(..800), Fault::Reload(process)));
+            faults.push((start + rng.u64(..800), Fault::Configure(rng.bool())));
+        }
+        start += SERIES_MS + rng.u64(..1_000);
+    }
+    faults.sort_by_key(|&(at, _)| at);
+    faults
+}
+
 /// Returns whether a seed has planned operations only, which must not cut a running
 /// request.
 #[must_use]
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -60,6 +60,8 @@
     pub folder: PathBuf,
     /// Whether an engine leaves again and again, and another one asks for pauses.
     pub departures: bool,
+    /// Whether planned operations also come in series that overlap.
+    pub series: bool,
 }
 
 /// Why a run could not be completed.
@@ -117,7 +119,11 @@
 ///
 /// Fails if the processes cannot be started or accept no configuration.
 pub fn run(settings: &RunSettings) -> Result<Report, SoakError> {
-    let faults = plan::generate(settings.seed, millis(settings.duration));
+    let mut faults = plan::generate(settings.seed, millis(settings.duration));
+    if settings.series {
+        faults.extend(plan::series(settings.seed, millis(settings.duration)));
+        faults.sort_by_key(|&(at, _)| at);
+    }
     fs::create_dir_all(&settings.folder)?;
     let mut cluster = Cluster::start(settings)?;
     let outcome = cluster.run_plan(&faults);
@@ -319,7 +325,8 @@
                 self.processes[index].signal(Signal::TERM);
                 self.recoveries[index] = Some((now, Recovery::RestartAfterExit));
             }
-            Fault::Reload(index) if self.recoveries[index].is_none() => {
+            Fault::Reload(index) => {
+                // Also while the process stops.
                 self.processes[index].signal(Signal::HUP);
             }
             Fault::Link(engine, link, ms) => {
--- a/crates/soak/tests/plan.rs
+++ b/crates/soak/tests/plan.rs
@@ -54,3 +54,19 @@
     assert_eq!(plan::generate(7, 20_000), plan::generate(7, 20_000));
     assert_ne!(plan::generate(7, 20_000), plan::generate(8, 20_000));
 }
+
+#[test]
+fn series_have_planned_operations_and_stop_no_process_with_a_disk() {
+    for seed in 0..300 {
+        let series = plan::series(seed, 60_000);
+        assert!(!series.is_empty());
+        for (at, fault) in series {
+            let allowed = match fault {
+                Fault::Stop(process) => process >= DISK_PROCESS_COUNT,
+                Fault::Reload(_) | Fault::Configure(_) => true,
+                _ => false,
+            };
+            assert!(allowed, "seed {seed}: {fault} at {at}");
+        }
+    }
+}
