consensus: a successor replaces a lost voter instead of joining beside it

Cause: a learner became a voter as soon as it had the log, also beside a voter that was gone; that one was removed 12 s later. In between a majority was three of four, one of them gone, and a second loss left two of four. Class: a quorum that counts members nobody answers for, and time-outs longer than what the platform allows.

Change: the leader counts the ticks since each member's last answer. In this order the quorum never rises above the voters that answer, and the group always stores an entry on as many disks as a majority of the target. The target is 2n+1 voters; further replicas stay learners and stand by. A learner is ready with all committed entries; before, under steady load, it needed a moment without any entry under way.

A voter that was cut off, removed and added again as a learner rejected the leader's messages for good if the leader had joined meanwhile: senders that a replica doesn't list are accepted now, as the protocol allows. One under a listed number on another disk is still rejected.

--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -26,6 +26,7 @@
 pub use crate::log::Snapshot;
 pub use crate::members::Members;
 pub use crate::members::MembershipChange;
+pub use crate::members::ReplacementPolicy;
 pub use crate::message::Envelope;
 pub use crate::message::Message;
 pub use crate::replica::Effects;
--- a/crates/consensus/src/members.rs
+++ b/crates/consensus/src/members.rs
@@ -23,6 +23,33 @@
     pub learners: BTreeMap<KeeperId, u64>,
 }
 
+/// What a leader knows about the members.
+#[derive(Clone, Copy, Debug)]
+pub struct MemberHealth<'a> {
+    /// Members that haven't answered for an election timeout.
+    pub silent: &'a [KeeperId],
+    /// Members that have been silent for so long that a learner may replace them.
+    pub absent: &'a [KeeperId],
+    /// Learners that answer and have all committed entries.
+    pub ready: &'a [KeeperId],
+}
+
+/// When a leader replaces an absent voter by a learner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReplacementPolicy {
+    /// Number of voters that the group needs at least.
+    pub min_voters: usize,
+    /// Number of voters that the group has at most.
+    pub max_voters: usize,
+    /// Ticks without an answer after which a voter is absent.
+    pub absence_ticks: u32,
+}
+
+/// Returns the size of a majority of `voters`.
+fn quorum(voters: usize) -> usize {
+    voters / 2 + 1
+}
+
 /// A change of one member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MembershipChange {
@@ -88,6 +115,64 @@
             .filter(move |&id| id != except)
     }
 
+    /// Returns the change that lets a replica join: `lost` members, whose disks are gone,
+    /// make room before the replica becomes a learner.
+    #[must_use]
+    pub fn join_change(
+        &self,
+        id: KeeperId,
+        disk: u64,
+        lost: &[KeeperId],
+        min_voters: usize,
+    ) -> MembershipChange {
+        let mut lost = lost.iter().copied();
+        let gone =
+            lost.find(|&id| self.learners.contains_key(&id) || self.can_spare(id, min_voters));
+        gone.map_or(MembershipChange::Add(id, disk), MembershipChange::Remove)
+    }
+
+    /// Returns the next change that replaces an absent voter by a learner, or lets a learner
+    /// vote.
+    ///
+    /// An absent voter is removed first and the learner then takes its place, so that the
+    /// quorum is never raised by a voter beside one that is gone. A voter is added beside
+    /// the others only while there are too few, or while all of them answer.
+    #[must_use]
+    pub fn replacement_change(
+        &self,
+        policy: ReplacementPolicy,
+        health: &MemberHealth<'_>,
+    ) -> Option<MembershipChange> {
+        let is_silent = |id: &KeeperId| health.silent.contains(id);
+        let ready = self.learners.keys().find(|id| health.ready.contains(id));
+        let answering = self.voters.keys().filter(|id| !is_silent(id)).count();
+        let rest = self.voters.len() - 1;
+        let absent = self.voters.keys().find(|id| health.absent.contains(id));
+        if let Some(&gone) = absent
+            && (ready.is_some() || rest >= policy.min_voters)
+            && answering >= quorum(rest)
+            && self.can_spare(gone, policy.min_voters)
+        {
+            return Some(MembershipChange::Remove(gone));
+        }
+        let voters = self.voters.len();
+        let may_promote = voters < policy.max_voters
+            && (voters < policy.min_voters
+                || quorum(voters + 1) == self.quorum()
+                || answering == voters);
+        ready
+            .filter(|_| may_promote)
+            .map(|&id| MembershipChange::Promote(id))
+    }
+
+    /// Returns whether the group without the voter `id` still stores each entry on as many
+    /// disks as a majority of `min_voters`.
+    fn can_spare(&self, id: KeeperId, min_voters: usize) -> bool {
+        self.is_voter(id)
+            && self.voters.len() > 1
+            && quorum(self.voters.len() - 1) >= quorum(min_voters)
+    }
+
     /// Returns a member that isn't in `present` and can be removed, provided that at
     /// least `min_voters` voters are present.
     ///
--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -14,6 +14,8 @@
     pub acked_round: u64,
     /// Whether the follower has answered since the last quorum check.
     pub recently_active: bool,
+    /// Ticks since the follower's last answer.
+    pub silent_ticks: u32,
     /// Ticks until the snapshot may be sent again.
     pub snapshot_pause: u32,
 }
@@ -28,10 +30,17 @@
             next_index: last_index + 1,
             acked_round: 0,
             recently_active: false,
+            silent_ticks: 0,
             snapshot_pause: 0,
         }
     }
 
+    /// Records an answer of the follower.
+    pub fn record_answer(&mut self) {
+        self.recently_active = true;
+        self.silent_ticks = 0;
+    }
+
     /// Returns whether the limit of unacknowledged entries allows sending more.
     #[must_use]
     pub fn can_send(&self) -> bool {
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -14,9 +14,11 @@
 use crate::log::Payload;
 use crate::log::Position;
 use crate::log::Snapshot;
+use crate::members::MemberHealth;
 use crate::members::Members;
 use crate::members::MembershipChange;
 use crate::members::MembershipError;
+use crate::members::ReplacementPolicy;
 use crate::members::UNKNOWN_DISK;
 use crate::message::Envelope;
 use crate::message::Message;
@@ -29,9 +31,6 @@
 /// Ticks between two heartbeats of a leader.
 pub const HEARTBEAT_INTERVAL_TICKS: u32 = 2;
 
-/// Most entries that a learner's log may lag behind when it becomes a voter.
-const MAX_PROMOTE_LAG: u64 = 0;
-
 /// The role of a replica in its term.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
@@ -143,6 +142,7 @@
     clock_ms: u64,
     rng: fastrand::Rng,
     rejected_messages: u64,
+    policy: Option<ReplacementPolicy>,
 }
 
 impl Replica {
@@ -171,12 +171,21 @@
             clock_ms: log.last_time_ms(),
             rng: fastrand::Rng::with_seed(seed),
             rejected_messages: 0,
+            policy: None,
             log,
         };
         replica.reset_timeout();
         replica
     }
 
+    /// Returns the replica with a policy by which it replaces absent voters while it leads.
+    /// Without one, learners become voters as soon as they have the whole log.
+    #[must_use]
+    pub fn with_policy(mut self, policy: ReplacementPolicy) -> Self {
+        self.policy = Some(policy);
+        self
+    }
+
     /// Returns the replica's id.
     #[must_use]
     pub fn id(&self) -> KeeperId {
@@ -259,11 +268,12 @@
         }
         for progress in self.followers.values_mut() {
             progress.snapshot_pause = progress.snapshot_pause.saturating_sub(1);
+            progress.silent_ticks = progress.silent_ticks.saturating_add(1);
         }
         if self.elapsed_ticks.is_multiple_of(HEARTBEAT_INTERVAL_TICKS) {
             self.round += 1;
             self.replicate(true, effects);
-            self.promote_learner(effects);
+            self.replace_member(effects);
         }
     }
 
@@ -315,7 +325,7 @@
         if let MembershipChange::Promote(id) = change {
             let progress = self.followers.get(&id);
             let match_index = progress.map_or(0, |progress| progress.match_index);
-            if match_index + MAX_PROMOTE_LAG < self.commit_index {
+            if match_index < self.commit_index {
                 return Err(ProposeError::LearnerBehind(id));
             }
         }
@@ -466,14 +476,14 @@
         effects
     }
 
-    /// Returns whether the sender is a member and runs on the disk that it joined with.
+    /// Returns whether the sender may be a member that runs on the disk that it joined with.
     ///
-    /// A replica that isn't a voter yet also accepts messages from senders that its
-    /// membership doesn't list.
+    /// Senders that aren't listed are accepted: members may have changed while this replica
+    /// was cut off, and only the members that the sender knows decide who leads.
     fn is_known_sender(&self, envelope: &Envelope) -> bool {
         match self.members().disk(envelope.from) {
             Some(disk) => disk == envelope.disk || disk == UNKNOWN_DISK,
-            None => !self.members().is_voter(self.id),
+            None => true,
         }
     }
 
@@ -709,23 +719,39 @@
             .any(|entry| matches!(entry.payload, Payload::Members(_)))
     }
 
-    /// Promotes the first active learner that has the whole log.
-    fn promote_learner(&mut self, effects: &mut Effects) {
-        let last_index = self.log.last_position().index;
-        let caught_up = self.members().learners.keys().copied().find(|id| {
-            let progress = self.followers.get(id);
-            progress
-                .is_some_and(|p| p.recently_active && p.match_index + MAX_PROMOTE_LAG >= last_index)
-        });
-        if let Some(id) = caught_up
-            && let Ok((_, more)) = self.change_members(MembershipChange::Promote(id))
-        {
+    /// Starts the next change that replaces an absent voter or promotes a learner.
+    fn replace_member(&mut self, effects: &mut Effects) {
+        let Some(change) = self.replacement_change() else {
+            return;
+        };
+        // A change that isn't possible yet is tried again.
+        if let Ok((_, more)) = self.change_members(change) {
             effects.writes.extend(more.writes);
             effects.messages.extend(more.messages);
             effects.committed.extend(more.committed);
         }
     }
 
+    fn replacement_change(&self) -> Option<MembershipChange> {
+        let followers = |is_found: &dyn Fn(&Progress) -> bool| -> Vec<KeeperId> {
+            let found = self.followers.iter().filter(|(_, p)| is_found(p));
+            found.map(|(&id, _)| id).collect()
+        };
+        let is_silent = |progress: &Progress| progress.silent_ticks > MIN_ELECTION_TICKS;
+        let ready = followers(&|p| !is_silent(p) && p.match_index >= self.commit_index);
+        let Some(policy) = self.policy else {
+            let mut learners = self.members().learners.keys();
+            let found = learners.find(|id| ready.contains(id));
+            return found.map(|&id| MembershipChange::Promote(id));
+        };
+        let health = MemberHealth {
+            silent: &followers(&is_silent),
+            absent: &followers(&|p| p.silent_ticks > policy.absence_ticks),
+            ready: &ready,
+        };
+        self.members().replacement_change(policy, &health)
+    }
+
     pub(crate) fn append(&mut self, payload: Payload, effects: &mut Effects) -> Position {
         let position = Position {
             term: self.hard_state.term,
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -162,7 +162,7 @@
         let Some(progress) = self.followers.get_mut(&from) else {
             return;
         };
-        progress.recently_active = true;
+        progress.record_answer();
         progress.acked_round = progress.acked_round.max(round);
         if let Some(index) = match_index {
             progress.match_index = progress.match_index.max(index);
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -24,6 +24,7 @@
 use consensus::Members;
 use consensus::MembershipChange;
 use consensus::Payload;
+use consensus::ReplacementPolicy;
 use consensus::Replica;
 use consensus::Role;
 use consensus::Snapshot;
@@ -54,7 +55,7 @@
 
 /// Time between two ticks. An election then takes half a second to a second, which an
 /// instance that is slowed down several times can still meet.
-const TICK_INTERVAL: Duration = Duration::from_millis(40);
+pub const TICK_INTERVAL: Duration = Duration::from_millis(40);
 
 /// Maximum number of inputs handled with one sync.
 const MAX_BATCH_INPUTS: usize = 256;
@@ -107,7 +108,7 @@
     ListEndedLeases(Option<Vec<u64>>, Sender<Vec<SettlingLease>>),
     /// Names the replicas heard recently; the leader may remove another one.
     RemoveAbsent(Vec<KeeperId>),
-    /// Adds a learner and removes the member that it replaces.
+    /// Adds a learner, which takes the place of an absent voter once it has caught up.
     JoinGroup(JoinRequest, Reply),
     /// Transfers leadership and stops the thread.
     Stop(Sender<()>),
@@ -157,8 +158,6 @@
     pub address: SocketAddr,
     /// Replicas whose disk is known to be lost.
     pub lost_replicas: Vec<KeeperId>,
-    /// Replicas heard recently; `None` until this process has run long enough to know.
-    pub present_replicas: Option<Vec<KeeperId>>,
 }
 
 /// An output of the thread.
@@ -214,8 +213,9 @@
     pub quota_bytes: u64,
     /// Maximum memory of the process, in bytes.
     pub memory_bytes: u64,
-    /// Number of voters required before the first configuration is accepted.
-    pub quorum_size: usize,
+    /// The number of voters, and when an absent one is replaced. The first configuration is
+    /// accepted once there are enough.
+    pub policy: ReplacementPolicy,
     /// Receives the thread's outputs.
     pub output: OutputFn,
 }
@@ -338,7 +338,8 @@
             recovered.hard_state,
             recovered.log,
             seed,
-        );
+        )
+        .with_policy(options.policy);
         log::info!(
             "group: event=open replica={} records={} last={}",
             replica.id(),
@@ -568,7 +569,7 @@
             }
             Input::SubmitConfig(version, body, budgets, reply) => {
                 let voters = self.local.replica.members().voters.len();
-                if self.local.state.config_version == 0 && voters < self.options.quorum_size {
+                if self.local.state.config_version == 0 && voters < self.options.policy.min_voters {
                     self.responses.push((reply, MeshResponse::Unavailable));
                     return;
                 }
@@ -611,7 +612,7 @@
             return;
         }
         present.push(replica.id());
-        let quorum_size = self.options.quorum_size;
+        let quorum_size = self.options.policy.min_voters;
         let Some(gone) = replica.members().removable_member(&present, quorum_size) else {
             return;
         };
@@ -685,7 +686,9 @@
         };
         let log = consensus::log::Log::new(snapshot, Vec::new());
         let seed = fastrand::u64(..);
-        self.local.replica = Replica::new(id, self.local.disk_id, replica.hard_state(), log, seed);
+        let hard_state = replica.hard_state();
+        self.local.replica = Replica::new(id, self.local.disk_id, hard_state, log, seed)
+            .with_policy(self.options.policy);
         log::info!("group: event=form replica={id}");
     }
 
@@ -721,21 +724,16 @@
             self.responses.push((reply, MeshResponse::Done));
             return;
         }
-        let absent = |id: KeeperId| {
-            let present = request.present_replicas.as_ref();
-            request.lost_replicas.contains(&id) || present.is_some_and(|list| !list.contains(&id))
-        };
         let displaced = self
             .local
             .state
             .displaced_replica(request.id, request.address);
-        let displaced = displaced.filter(|&id| members.disk(id).is_some());
-        let gone = members.others(replica.id()).find(|&id| absent(id));
-        let gone = displaced.or(gone);
-        let change = gone.map_or(
-            MembershipChange::Add(request.id, request.disk),
-            MembershipChange::Remove,
-        );
+        let lost = displaced
+            .into_iter()
+            .chain(request.lost_replicas.iter().copied());
+        let lost: Vec<KeeperId> = lost.filter(|&id| members.disk(id).is_some()).collect();
+        let min_voters = self.options.policy.min_voters;
+        let change = members.join_change(request.id, request.disk, &lost, min_voters);
         match self.local.replica.change_members(change) {
             Ok((position, effects)) => {
                 log::info!(
--- a/crates/gateway/src/leader_requests.rs
+++ b/crates/gateway/src/leader_requests.rs
@@ -15,7 +15,6 @@
 use crate::group::Group;
 use crate::group::Input;
 use crate::group::JoinRequest;
-use crate::mesh::REPLACEMENT_TIMEOUT;
 use crate::mesh::reachable_peers;
 use crate::mesh::request_peer;
 use crate::state::ProcessContext;
@@ -83,19 +82,11 @@
     disk: u64,
     address: SocketAddr,
 ) -> JoinRequest {
-    let now = shared.now();
-    let state = shared.state();
-    let heard = state
-        .peers
-        .values()
-        .filter(|peer| peer.last_heard.until(now) < REPLACEMENT_TIMEOUT);
-    let present: Vec<KeeperId> = heard.filter_map(|peer| peer.member.keeper).collect();
     JoinRequest {
         id,
         disk,
         address,
-        lost_replicas: state.lost_replicas.clone(),
-        present_replicas: (Span(now.0) > REPLACEMENT_TIMEOUT).then_some(present),
+        lost_replicas: shared.state().lost_replicas.clone(),
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`group`]: the consensus driver, a thread that owns a replica and its disk.
 //! - [`input_queue`]: the queue of inputs to the replica's thread.
 //! - [`leader_requests`]: requests to the group's leader, and joining the group.
+//! - [`membership`]: the number of voters and the replacement of absent ones.
 //! - [`mesh`]: state updates between processes.
 //! - [`metrics`]: request counters and latency histograms.
 //! - [`outbox`]: the queue of consensus messages to one replica.
@@ -33,6 +34,7 @@
 pub mod group;
 pub mod input_queue;
 pub mod leader_requests;
+pub mod membership;
 pub mod mesh;
 pub mod metrics;
 pub mod outbox;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -61,9 +61,6 @@
 /// Time without a message after which a peer is removed.
 const PEER_EXPIRY_TIMEOUT: Span = Span::millis(15_000);
 
-/// Time without a message after which a joining replica may replace another one.
-pub const REPLACEMENT_TIMEOUT: Span = Span::millis(6_000);
-
 /// Time after the start in which a process doesn't serve with a configuration that the
 /// group hasn't confirmed.
 const CONFIRMATION_TIMEOUT: Span = Span::millis(1_500);
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -25,12 +25,14 @@
 use crate::control;
 use crate::crash_news;
 use crate::frontend;
+use crate::group;
 use crate::group::Group;
 use crate::group::GroupError;
 use crate::group::GroupOptions;
 use crate::group::Input;
 use crate::group::Output;
 use crate::leader_requests;
+use crate::membership;
 use crate::mesh;
 use crate::replica_messages;
 use crate::settlement;
@@ -101,7 +103,7 @@
                     address,
                     quota_bytes: (settings.limits.disk_mb << 20) / JOURNAL_DISK_DIVISOR,
                     memory_bytes: settings.limits.memory_mb << 20,
-                    quorum_size: 2 * settings.fault_tolerance.instances + 1,
+                    policy: membership::replacement_policy(&settings, group::TICK_INTERVAL),
                     output: Arc::new(move |output| {
                         let lost = match output {
                             Output::Send(envelope) => envelope_sender.try_send(envelope).is_err(),
--- a/crates/gateway/src/settlement.rs
+++ b/crates/gateway/src/settlement.rs
@@ -16,7 +16,6 @@
 use crate::group::Input;
 use crate::group::SettlingLease;
 use crate::mesh::REACHABLE_TIMEOUT;
-use crate::mesh::REPLACEMENT_TIMEOUT;
 use crate::mesh::request_peer;
 use crate::state::ProcessContext;
 use crate::witness;
@@ -27,6 +26,9 @@
 /// Maximum wait for one witness to fence a lease.
 const FENCE_TIMEOUT: Span = Span::millis(300);
 
+/// Time after its start in which a process may not have heard from all others.
+const HEARING_TIME: Span = Span::millis(6_000);
+
 /// Time without a message after which a replica may be removed from the group.
 /// Partitions of single instances are shorter, and a replica that returns joins again.
 const REMOVAL_TIMEOUT: Span = Span::millis(12_000);
@@ -47,7 +49,7 @@
                 continue;
             }
             // A process that has just started hasn't heard from all others yet.
-            let heard = Span(shared.now().0) > REPLACEMENT_TIMEOUT;
+            let heard = Span(shared.now().0) > HEARING_TIME;
             let peers = state.peers.values().map(|peer| peer.lease_id);
             heard.then(|| peers.chain([state.grants.lease_id()]).collect())
         };
--- a/crates/gateway/tests/full_disk.rs
+++ b/crates/gateway/tests/full_disk.rs
@@ -20,6 +20,7 @@
 use consensus::Message;
 use consensus::Payload;
 use consensus::Position;
+use consensus::ReplacementPolicy;
 use consensus::Snapshot;
 use durable::LogCheckpoint;
 use fleet::mesh::MeshResponse;
@@ -57,7 +58,11 @@
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         quota_bytes: QUOTA,
         memory_bytes: MEMORY,
-        quorum_size: 1,
+        policy: ReplacementPolicy {
+            min_voters: 1,
+            max_voters: 1,
+            absence_ticks: 50,
+        },
         output: Arc::new(move |output| {
             let _ = sender.send(output);
         }),
