--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -85,6 +85,20 @@
 }
 
 impl Effects {
+    /// Adds the actions of a later call. A snapshot includes the entries that were committed
+    /// before it, so these are no longer applied.
+    pub fn merge(&mut self, later: Self) {
+        self.writes.extend(later.writes);
+        self.messages.extend(later.messages);
+        if later.snapshot.is_some() {
+            self.snapshot = later.snapshot;
+            self.committed.clear();
+        }
+        self.committed.extend(later.committed);
+        self.ready_reads.extend(later.ready_reads);
+        self.failed_reads.extend(later.failed_reads);
+    }
+
     /// Returns whether there are no actions.
     #[must_use]
     pub fn is_empty(&self) -> bool {
@@ -726,9 +740,7 @@
         };
         // A change that isn't possible yet is tried again.
         if let Ok((_, more)) = self.change_members(change) {
-            effects.writes.extend(more.writes);
-            effects.messages.extend(more.messages);
-            effects.committed.extend(more.committed);
+            effects.merge(more);
         }
     }
 
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -484,7 +484,7 @@
                 due = Instant::now() + TICK_INTERVAL;
                 let at = self.base_ms + duration_ms(self.started_at.elapsed());
                 let effects = self.local.replica.tick(at);
-                self.merge_effects(effects);
+                self.effects.merge(effects);
                 self.propose_own_address();
                 self.log_sums();
             }
@@ -547,24 +547,13 @@
         log::info!("budget: event=sums total={total} used={used} held={held}");
     }
 
-    fn merge_effects(&mut self, more: Effects) {
-        self.effects.writes.extend(more.writes);
-        self.effects.messages.extend(more.messages);
-        self.effects.committed.extend(more.committed);
-        self.effects.ready_reads.extend(more.ready_reads);
-        self.effects.failed_reads.extend(more.failed_reads);
-        if more.snapshot.is_some() {
-            self.effects.snapshot = more.snapshot;
-        }
-    }
-
     fn handle(&mut self, input: Input) {
         match input {
             Input::FormGroup => self.form_group(),
             Input::Messages(envelopes) => {
                 for envelope in envelopes {
                     let effects = self.local.replica.receive(envelope);
-                    self.merge_effects(effects);
+                    self.effects.merge(effects);
                 }
             }
             Input::SubmitConfig(version, body, budgets, reply) => {
@@ -587,7 +576,7 @@
                 self.last_read += 1;
                 self.reads.insert(self.last_read, reply);
                 let effects = self.local.replica.read_index(self.last_read);
-                self.merge_effects(effects);
+                self.effects.merge(effects);
             }
             Input::RecordMark(mark, reply) => self.marks.push((mark, reply)),
             Input::FenceLease(lease, reply) => self.fences.push((lease, reply)),
@@ -599,7 +588,7 @@
             Input::JoinGroup(request, reply) => self.handle_join(&request, reply),
             Input::Stop(done) => {
                 let effects = self.local.replica.transfer_leadership();
-                self.merge_effects(effects);
+                self.effects.merge(effects);
                 self.stop_reply = Some(done);
             }
         }
@@ -623,7 +612,7 @@
                 log::info!(
                     "group: event=members change={change:?} index={index} reason=\"no recent message from the member\""
                 );
-                self.merge_effects(effects);
+                self.effects.merge(effects);
             }
             Err(error) => log::debug!("group: event=members replica={gone} outcome={error}"),
         }
@@ -708,7 +697,7 @@
         }
         match self.local.replica.propose(bytes) {
             Ok((position, effects)) => {
-                self.merge_effects(effects);
+                self.effects.merge(effects);
                 let term = position.term;
                 self.proposals
                     .insert(position.index, PendingProposal { term, reply });
@@ -740,7 +729,7 @@
                     "group: event=members change={change:?} index={}",
                     position.index
                 );
-                self.merge_effects(effects);
+                self.effects.merge(effects);
                 if let MembershipChange::Add(id, _) = change {
                     self.propose_address(id, request.address);
                 }
