witness: drop closed leases that others have fenced

What callers could see: a witness whose checkpoint and memory grow with each lease that was settled without it, up to its quota.

Cause: a checkpoint dropped a closed lease only if it had been fenced at this witness. The leader fences as many witnesses as it needs.

Change: closed leases are dropped. The replicated state keeps that they are closed, so their marks are never asked for again.

--- a/crates/gateway/src/witness_log.rs
+++ b/crates/gateway/src/witness_log.rs
@@ -124,8 +124,8 @@
         Ok(opened.unwrap_or_default().into_iter().collect())
     }
 
-    /// Makes appended records durable. The next checkpoint drops fenced leases that are
-    /// `closed`.
+    /// Makes appended records durable. The next checkpoint drops leases that are `closed`:
+    /// nobody asks for their marks again.
     ///
     /// # Errors
     ///
@@ -134,8 +134,7 @@
         self.journal.sync()?;
         let is_long = self.record_count >= MAX_JOURNAL_RECORDS;
         if is_long || self.journal.size_bytes() >= self.max_bytes {
-            self.leases
-                .retain(|&lease, known| !known.is_fenced || !closed(lease));
+            self.leases.retain(|&lease, _| !closed(lease));
             self.checkpoint()?;
         }
         Ok(())
--- a/crates/gateway/tests/bounds.rs
+++ b/crates/gateway/tests/bounds.rs
@@ -56,3 +56,25 @@
     assert!(opened.iter().all(|(_, limit)| *limit == 1_000));
     let _ = fs::remove_dir_all(&folder);
 }
+
+/// Guards against a witness whose checkpoint grows with each lease that others settled.
+#[test]
+fn closed_leases_that_were_not_fenced_here_are_dropped() {
+    let folder = std::env::temp_dir().join(format!("witness-closed-{}", process::id()));
+    let _ = fs::remove_dir_all(&folder);
+    let options = JournalOptions {
+        segment_bytes: 16 << 10,
+        quota_bytes: 64 << 10,
+        fsync: false,
+    };
+    let mut log = WitnessLog::open(&folder, options).expect("opened");
+    for lease in 1..=1_000_u64 {
+        let limits = (0..10).map(|team| (format!("team-{team}"), 1)).collect();
+        log.record_mark(&HighWaterMark { lease, limits })
+            .expect("recorded");
+        log.sync(|closed| closed < lease).expect("synced");
+    }
+    let kept = fs::metadata(folder.join("checkpoint")).expect("written");
+    assert!(kept.len() < 1_000, "{} bytes", kept.len());
+    let _ = fs::remove_dir_all(&folder);
+}
