--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -375,6 +375,7 @@
     fences: Vec<(u64, Reply)>,
     last_read: u64,
     leader: Option<KeeperId>,
+    members: Members,
     is_member: bool,
     applied_index: u64,
     /// Size of the applied entries in the log, in bytes.
@@ -446,6 +447,7 @@
             fences: Vec::new(),
             last_read: 0,
             leader: None,
+            members: Members::default(),
             is_member: false,
             applied_index,
             applied_bytes: 0,
@@ -894,7 +896,15 @@
             }
             (self.options.output)(Output::LeaderChanged(leader));
         }
-        let member = replica.members().disk(replica.id()).is_some();
+        if *replica.members() != self.members {
+            self.members = replica.members().clone();
+            log::info!(
+                "group: event=members voters={:?} learners={:?}",
+                self.members.voters.keys(),
+                self.members.learners.keys()
+            );
+        }
+        let member = self.members.disk(replica.id()).is_some();
         if member != self.is_member {
             self.is_member = member;
             (self.options.output)(Output::MembershipChanged(member));
