--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -26,6 +26,8 @@
     pub acked_round: u64,
     /// Whether the follower has answered since the last quorum check.
     pub recently_active: bool,
+    /// Ticks since the follower's last answer.
+    pub silent_ticks: u32,
     /// Ticks until the snapshot may be sent again.
     pub snapshot_pause: u32,
     inflight: VecDeque<InflightAppend>,
@@ -41,11 +43,18 @@
             next_index: last_index + 1,
             acked_round: 0,
             recently_active: false,
+            silent_ticks: 0,
             snapshot_pause: 0,
             inflight: VecDeque::new(),
         }
     }
 
+    /// Records an answer of the follower.
+    pub fn record_answer(&mut self) {
+        self.recently_active = true;
+        self.silent_ticks = 0;
+    }
+
     /// Returns whether the limits of unacknowledged messages allow sending entries. What is
     /// held back goes out together with the next acknowledgement.
     #[must_use]
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -164,7 +164,7 @@
         let Some(progress) = self.followers.get_mut(&from) else {
             return;
         };
-        progress.recently_active = true;
+        progress.record_answer();
         progress.acked_round = progress.acked_round.max(round);
         self.complete_reads(effects);
     }
@@ -203,7 +203,7 @@
         let Some(progress) = self.followers.get_mut(&from) else {
             return;
         };
-        progress.recently_active = true;
+        progress.record_answer();
         progress.acked_round = progress.acked_round.max(round);
         if let Some(index) = match_index {
             progress.record_match(index);
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -24,6 +24,7 @@
 use consensus::Members;
 use consensus::MembershipChange;
 use consensus::Payload;
+use consensus::ReplacementPolicy;
 use consensus::Replica;
 use consensus::Role;
 use consensus::Snapshot;
@@ -54,7 +55,7 @@
 
 /// Time between two ticks. An election then takes half a second to a second, which an
 /// instance that is slowed down several times can still meet.
-const TICK_INTERVAL: Duration = Duration::from_millis(40);
+pub const TICK_INTERVAL: Duration = Duration::from_millis(40);
 
 /// Maximum number of inputs handled with one sync.
 const MAX_BATCH_INPUTS: usize = 256;
@@ -108,7 +109,7 @@
     ListEndedLeases(Option<Vec<u64>>, Sender<Vec<SettlingLease>>),
     /// Names the replicas heard recently; the leader may remove another one.
     RemoveAbsent(Vec<KeeperId>),
-    /// Adds a learner and removes the member that it replaces.
+    /// Adds a learner, which takes the place of an absent voter once it has caught up.
     JoinGroup(JoinRequest, Reply),
     /// Transfers leadership and stops the thread.
     Stop(Sender<()>),
@@ -158,8 +159,6 @@
     pub address: SocketAddr,
     /// Replicas whose disk is known to be lost.
     pub lost_replicas: Vec<KeeperId>,
-    /// Replicas heard recently; `None` until this process has run long enough to know.
-    pub present_replicas: Option<Vec<KeeperId>>,
 }
 
 /// An output of the thread.
@@ -215,8 +214,9 @@
     pub quota_bytes: u64,
     /// Maximum memory of the process, in bytes.
     pub memory_bytes: u64,
-    /// Number of voters required before the first configuration is accepted.
-    pub quorum_size: usize,
+    /// The number of voters, and when an absent one is replaced. The first configuration is
+    /// accepted once there are enough.
+    pub policy: ReplacementPolicy,
     /// Receives the thread's outputs.
     pub output: OutputFn,
 }
@@ -339,7 +339,8 @@
             recovered.hard_state,
             recovered.log,
             seed,
-        );
+        )
+        .with_policy(options.policy);
         log::info!(
             "group: event=open replica={} records={} last={}",
             replica.id(),
@@ -377,6 +378,7 @@
     fences: Vec<(u64, Reply)>,
     last_read: u64,
     leader: Option<KeeperId>,
+    members: Members,
     is_member: bool,
     applied_index: u64,
     /// Size of the applied entries in the log, in bytes.
@@ -448,6 +450,7 @@
             fences: Vec::new(),
             last_read: 0,
             leader: None,
+            members: Members::default(),
             is_member: false,
             applied_index,
             applied_bytes: 0,
@@ -486,7 +489,7 @@
                 due = Instant::now() + TICK_INTERVAL;
                 let at = self.base_ms + duration_ms(self.started_at.elapsed());
                 let effects = self.local.replica.tick(at);
-                self.merge_effects(effects);
+                self.effects.merge(effects);
                 self.propose_own_address();
                 self.log_sums();
             }
@@ -549,24 +552,13 @@
         log::info!("budget: event=sums total={total} used={used} held={held}");
     }
 
-    fn merge_effects(&mut self, more: Effects) {
-        self.effects.writes.extend(more.writes);
-        self.effects.messages.extend(more.messages);
-        self.effects.committed.extend(more.committed);
-        self.effects.ready_reads.extend(more.ready_reads);
-        self.effects.failed_reads.extend(more.failed_reads);
-        if more.snapshot.is_some() {
-            self.effects.snapshot = more.snapshot;
-        }
-    }
-
     fn handle(&mut self, input: Input) {
         match input {
             Input::FormGroup => self.form_group(),
             Input::Messages(envelopes) => {
                 for envelope in envelopes {
                     let effects = self.local.replica.receive(envelope);
-                    self.merge_effects(effects);
+                    self.effects.merge(effects);
                 }
             }
             Input::SubmitConfig(version, body, budgets, reply) => {
@@ -579,7 +571,7 @@
                 self.last_read += 1;
                 self.reads.insert(self.last_read, reply);
                 let effects = self.local.replica.read_index(self.last_read);
-                self.merge_effects(effects);
+                self.effects.merge(effects);
             }
             Input::RecordMark(mark, reply) => self.marks.push((mark, reply)),
             Input::FenceLease(lease, reply) => self.fences.push((lease, reply)),
@@ -591,7 +583,7 @@
             Input::JoinGroup(request, reply) => self.handle_join(&request, reply),
             Input::Stop(done) => {
                 let effects = self.local.replica.transfer_leadership();
-                self.merge_effects(effects);
+                self.effects.merge(effects);
                 self.stop_reply = Some(done);
             }
         }
@@ -618,7 +610,7 @@
             return;
         }
         let voters = self.local.replica.members().voters.len();
-        if accepted == 0 && voters < self.options.quorum_size {
+        if accepted == 0 && voters < self.options.policy.min_voters {
             self.responses.push((reply, MeshResponse::Unavailable));
             return;
         }
@@ -637,7 +629,7 @@
             return;
         }
         present.push(replica.id());
-        let quorum_size = self.options.quorum_size;
+        let quorum_size = self.options.policy.min_voters;
         let Some(gone) = replica.members().removable_member(&present, quorum_size) else {
             return;
         };
@@ -648,7 +640,7 @@
                 log::info!(
                     "group: event=members change={change:?} index={index} reason=\"no recent message from the member\""
                 );
-                self.merge_effects(effects);
+                self.effects.merge(effects);
             }
             Err(error) => log::debug!("group: event=members replica={gone} outcome={error}"),
         }
@@ -711,7 +703,9 @@
         };
         let log = consensus::log::Log::new(snapshot, Vec::new());
         let seed = fastrand::u64(..);
-        self.local.replica = Replica::new(id, self.local.disk_id, replica.hard_state(), log, seed);
+        let hard_state = replica.hard_state();
+        self.local.replica = Replica::new(id, self.local.disk_id, hard_state, log, seed)
+            .with_policy(self.options.policy);
         log::info!("group: event=form replica={id}");
     }
 
@@ -731,7 +725,7 @@
         }
         match self.local.replica.propose(bytes) {
             Ok((position, effects)) => {
-                self.merge_effects(effects);
+                self.effects.merge(effects);
                 let config_version = match command {
                     Command::AcceptConfig { version, .. } => Some(*version),
                     _ => None,
@@ -754,28 +748,23 @@
             self.responses.push((reply, MeshResponse::Done));
             return;
         }
-        let absent = |id: KeeperId| {
-            let present = request.present_replicas.as_ref();
-            request.lost_replicas.contains(&id) || present.is_some_and(|list| !list.contains(&id))
-        };
         let displaced = self
             .local
             .state
             .displaced_replica(request.id, request.address);
-        let displaced = displaced.filter(|&id| members.disk(id).is_some());
-        let gone = members.others(replica.id()).find(|&id| absent(id));
-        let gone = displaced.or(gone);
-        let change = gone.map_or(
-            MembershipChange::Add(request.id, request.disk),
-            MembershipChange::Remove,
-        );
+        let lost = displaced
+            .into_iter()
+            .chain(request.lost_replicas.iter().copied());
+        let lost: Vec<KeeperId> = lost.filter(|&id| members.disk(id).is_some()).collect();
+        let min_voters = self.options.policy.min_voters;
+        let change = members.join_change(request.id, request.disk, &lost, min_voters);
         match self.local.replica.change_members(change) {
             Ok((position, effects)) => {
                 log::info!(
                     "group: event=members change={change:?} index={}",
                     position.index
                 );
-                self.merge_effects(effects);
+                self.effects.merge(effects);
                 if let MembershipChange::Add(id, _) = change {
                     self.propose_address(id, request.address);
                 }
@@ -941,7 +930,15 @@
             }
             (self.options.output)(Output::LeaderChanged(leader));
         }
-        let member = replica.members().disk(replica.id()).is_some();
+        if *replica.members() != self.members {
+            self.members = replica.members().clone();
+            log::info!(
+                "group: event=members voters={:?} learners={:?}",
+                self.members.voters.keys(),
+                self.members.learners.keys()
+            );
+        }
+        let member = self.members.disk(replica.id()).is_some();
         if member != self.is_member {
             self.is_member = member;
             (self.options.output)(Output::MembershipChanged(member));
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -62,9 +62,6 @@
 /// Time without a message after which a peer is removed.
 const PEER_EXPIRY_TIMEOUT: Span = Span::millis(15_000);
 
-/// Time without a message after which a joining replica may replace another one.
-pub const REPLACEMENT_TIMEOUT: Span = Span::millis(6_000);
-
 /// Time after the start in which a process isn't ready with a configuration that the group
 /// hasn't confirmed. After it, a process that can't reach the group serves what its
 /// configuration allows, but denies nothing.
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -12,6 +12,7 @@
 use async_io::Timer;
 use base::KeeperId;
 use base::time::Clock;
+use consensus::ReplacementPolicy;
 use fleet::Node;
 use fleet::PeerRequest;
 use fleet::PeerResponse;
@@ -76,7 +77,11 @@
             address,
             quota_bytes: 1 << 20,
             memory_bytes: 256 << 20,
-            quorum_size: 3,
+            policy: ReplacementPolicy {
+                min_voters: 3,
+                max_voters: 3,
+                absence_ticks: 50,
+            },
             output: Arc::new(|_| {}),
         };
         Group::open(options).expect("a new folder")
--- a/crates/gateway/tests/resubmission.rs
+++ b/crates/gateway/tests/resubmission.rs
@@ -7,6 +7,7 @@
 use async_channel::Receiver;
 use consensus::Members;
 use consensus::Payload;
+use consensus::ReplacementPolicy;
 use durable::LogStore;
 use fleet::mesh::MeshResponse;
 use futures_lite::future::block_on;
@@ -38,7 +39,11 @@
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         quota_bytes: 8 << 20,
         memory_bytes: 256 << 20,
-        quorum_size: 1,
+        policy: ReplacementPolicy {
+            min_voters: 1,
+            max_voters: 1,
+            absence_ticks: 50,
+        },
         output: Arc::new(|_| {}),
     };
     let group = Group::open(options).unwrap();
