Let a long request go on while its peer answers

After its timeout a long request goes on for as long as datagrams arrive, for at most ten seconds more. Parts of configurations are sent behind other data, too.

The new test failed before, with a timeout.

--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -50,6 +51,13 @@
 /// that are short of processor time acknowledge packets some hundred milliseconds late.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Interval at which a long request is checked for silence.
+const SILENCE_POLL_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Bounds the time of a long request after its timeout: a message of a few megabytes takes
+/// that long on a link of a few Mbit/s.
+const MAX_BULK_TIME: Duration = Duration::from_secs(10);
+
 /// Interval between keep-alive packets on an idle connection.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(1_500);
 
@@ -292,7 +300,8 @@
     }
 
     /// Sends a long request like [`Self::request`], but behind all other data on the
-    /// connection.
+    /// connection. After `timeout` it goes on for as long as the peer acknowledges data, up to
+    /// [`MAX_BULK_TIME`]: what has arrived would otherwise be sent again.
     ///
     /// # Errors
     ///
@@ -314,11 +323,11 @@
         timeout: Span,
         priority: i32,
     ) -> Result<PeerResponse, FleetError> {
-        let mut used = None;
+        let used = OnceLock::new();
         let exchange = async {
             let connection = self.connection(address).await?;
             self.peer(address).liveness().begin_wait(&connection);
-            used = Some(connection.clone());
+            let _ = used.set(connection.clone());
             let (mut sender, mut receiver) = open_bi(&connection).await?;
             // Fails only if the stream is closed, which the write reports.
             let _ = sender.set_priority(priority);
@@ -327,18 +336,38 @@
             let response = codec::read(&mut receiver).await?;
             response.ok_or_else(|| FleetError::ConnectionLost("no answer".to_owned()))
         };
-        let response = exchange.or(fail_after(timeout.into())).await;
-        let Some(connection) = used else {
+        let expired = async {
+            Timer::after(timeout.into()).await;
+            if priority == BULK_PRIORITY
+                && let Some(connection) = used.get()
+            {
+                self.wait_for_silence(address, connection).await;
+            }
+            Err(FleetError::Timeout)
+        };
+        let response = exchange.or(expired).await;
+        let Some(connection) = used.get() else {
             return response;
         };
         match &response {
             Ok(_) => self.peer(address).liveness().end_wait(),
-            Err(FleetError::Timeout) => self.close_if_silent(address, &connection, timeout),
+            Err(FleetError::Timeout) => self.close_if_silent(address, connection, timeout),
             Err(_) => {}
         }
         response
     }
 
+    /// Waits until nothing has arrived on `connection` for [`SILENCE_TIMEOUT`], for at most
+    /// [`MAX_BULK_TIME`].
+    async fn wait_for_silence(&self, address: SocketAddr, connection: &quinn::Connection) {
+        let started_at = Instant::now();
+        while started_at.elapsed() < MAX_BULK_TIME
+            && self.peer(address).liveness().silence(connection) < SILENCE_TIMEOUT
+        {
+            Timer::after(SILENCE_POLL_INTERVAL).await;
+        }
+    }
+
     /// Closes `connection` if nothing has arrived on it for [`SILENCE_TIMEOUT`]: a restarted
     /// peer doesn't know it, and it would otherwise count as open until the idle timeout.
     ///
@@ -445,11 +474,6 @@
     opened.map_err(|error| FleetError::Connect(error.to_string()))
 }
 
-async fn fail_after(timeout: Duration) -> Result<PeerResponse, FleetError> {
-    Timer::after(timeout).await;
-    Err(FleetError::Timeout)
-}
-
 async fn accept(pool: Pool, endpoint: quinn::Endpoint, service: Service) {
     while let Some(incoming) = endpoint.accept().await {
         let peer = serve_connection(pool.clone(), incoming, service.clone());
@@ -480,6 +504,10 @@
     match codec::read(&mut receiver).await {
         Ok(Some(Hello::Request(request))) => {
             let response = (service.on_request)(peer, request).await;
+            if response.is_bulk() {
+                // Fails only if the stream is closed, which the write reports.
+                let _ = sender.set_priority(BULK_PRIORITY);
+            }
             if codec::write(&mut sender, &response).await.is_ok() {
                 let _ = sender.finish();
             }
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -288,6 +288,14 @@
     Withdrawn(bool),
 }
 
+impl PeerResponse {
+    /// Returns whether the response is long and may wait behind others.
+    #[must_use]
+    pub fn is_bulk(&self) -> bool {
+        matches!(self, Self::Mesh(crate::mesh::MeshResponse::ConfigPart(_)))
+    }
+}
+
 /// A request for a stream of frames.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StreamRequest {
--- a/crates/fleet/tests/slow_answers.rs
+++ b/crates/fleet/tests/slow_answers.rs
@@ -62,3 +62,27 @@
         assert_eq!(answer.unwrap(), PeerResponse::Done);
     });
 }
+
+/// Before, a batch of entries that took longer than its timeout was dropped and sent again
+/// from its first byte, on a link that could carry it.
+#[test]
+fn a_long_request_goes_on_while_its_peer_answers() {
+    let pool = Pool::start(2);
+    let (gate, release) = async_channel::bounded(1);
+    let server = bind(&pool, service(release));
+    let client = bind(&pool, service(async_channel::bounded(1).1));
+    let address = server.address();
+    future::block_on(async {
+        let long = client.request_bulk(address, PeerRequest::History, Span::millis(100));
+        let others = async {
+            for _ in 0..20 {
+                let status = client.request(address, PeerRequest::Status, Span::secs(5));
+                assert_eq!(status.await.unwrap(), PeerResponse::Done);
+                async_io::Timer::after(std::time::Duration::from_millis(20)).await;
+            }
+            gate.close();
+        };
+        let (answer, ()) = future::zip(long, others).await;
+        assert_eq!(answer.unwrap(), PeerResponse::Done);
+    });
+}
