Give up what a timed-out request has not sent

Seen in a test: requests that had timed out were still carried to their end, beside their next tries: six of 250 kB with a timeout of 200 ms on a link of 250 kB/s left 1,284,977 bytes to carry after the last timeout. Cause: a dropped stream of the transport is finished, not reset; the connection that a timeout closed before took them with it. Each try made the next one slower.

A request that is dropped before its response resets its stream.

--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -138,6 +138,33 @@
     }
 }
 
+/// The sending half of a request. If it is dropped before the response, what hasn't been sent
+/// is given up: it would only delay the next try.
+struct RequestStream {
+    stream: quinn::SendStream,
+    answered: bool,
+}
+
+impl RequestStream {
+    fn new(stream: quinn::SendStream, priority: i32) -> Self {
+        // Fails only if the stream is closed, which the write reports.
+        let _ = stream.set_priority(priority);
+        Self {
+            stream,
+            answered: false,
+        }
+    }
+}
+
+impl Drop for RequestStream {
+    fn drop(&mut self) {
+        if !self.answered {
+            // Fails if the peer has stopped the stream.
+            let _ = self.stream.reset(2_u32.into());
+        }
+    }
+}
+
 /// The outgoing connection to one peer; the lock allows one task at a time to connect.
 #[derive(Default)]
 struct Peer {
@@ -328,12 +355,12 @@
             let connection = self.connection(address).await?;
             self.peer(address).liveness().begin_wait(&connection);
             let _ = used.set(connection.clone());
-            let (mut sender, mut receiver) = open_bi(&connection).await?;
-            // Fails only if the stream is closed, which the write reports.
-            let _ = sender.set_priority(priority);
-            codec::write(&mut sender, &Hello::Request(request)).await?;
-            let _ = sender.finish();
+            let (sender, mut receiver) = open_bi(&connection).await?;
+            let mut sender = RequestStream::new(sender, priority);
+            codec::write(&mut sender.stream, &Hello::Request(request)).await?;
+            let _ = sender.stream.finish();
             let response = codec::read(&mut receiver).await?;
+            sender.answered = true;
             response.ok_or_else(|| FleetError::ConnectionLost("no answer".to_owned()))
         };
         let expired = async {
