--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -31,6 +31,10 @@
 /// Ticks between two heartbeats of a leader.
 pub const HEARTBEAT_INTERVAL_TICKS: u32 = 2;
 
+/// Ticks after which a leader steps down whose followers answer heartbeats but receive no
+/// entries, while some wait to be committed.
+const MAX_STALLED_TICKS: u32 = 10 * MIN_ELECTION_TICKS;
+
 /// The role of a replica in its term.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
@@ -150,6 +154,8 @@
     pub(crate) round: u64,
     pub(crate) followers: BTreeMap<KeeperId, Progress>,
     pub(crate) elapsed_ticks: u32,
+    /// Ticks for which a leader with uncommitted entries has seen no follower store one.
+    pub(crate) stalled_ticks: u32,
     votes: BTreeMap<KeeperId, u64>,
     timeout_ticks: u32,
     pending_reads: Vec<PendingRead>,
@@ -179,6 +185,7 @@
             round: 0,
             followers: BTreeMap::new(),
             elapsed_ticks: 0,
+            stalled_ticks: 0,
             votes: BTreeMap::new(),
             timeout_ticks: 0,
             pending_reads: Vec::new(),
@@ -280,6 +287,16 @@
             self.step_down(self.hard_state.term, None, effects);
             return;
         }
+        let uncommitted = self.log.last_position().index > self.commit_index;
+        self.stalled_ticks = if uncommitted {
+            self.stalled_ticks + 1
+        } else {
+            0
+        };
+        if self.stalled_ticks > MAX_STALLED_TICKS {
+            self.step_down(self.hard_state.term, None, effects);
+            return;
+        }
         for progress in self.followers.values_mut() {
             progress.snapshot_pause = progress.snapshot_pause.saturating_sub(1);
             progress.silent_ticks = progress.silent_ticks.saturating_add(1);
@@ -680,6 +697,7 @@
         self.role = Role::Leader;
         self.leader = Some(self.id);
         self.elapsed_ticks = 0;
+        self.stalled_ticks = 0;
         self.pending_reads.clear();
         self.followers.clear();
         self.update_followers();
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -208,6 +208,9 @@
         progress.record_answer();
         progress.acked_round = progress.acked_round.max(round);
         if let Some(index) = match_index {
+            if index > progress.match_index {
+                self.stalled_ticks = 0;
+            }
             progress.record_match(index);
         } else {
             progress.record_rejection(next_hint);
--- a/crates/consensus/tests/slow_log.rs
+++ b/crates/consensus/tests/slow_log.rs
@@ -32,7 +32,8 @@
     queues: BTreeMap<(KeeperId, KeeperId), OrderedQueue>,
     direct: VecDeque<Envelope>,
     now: u64,
-    appends_sent: usize,
+    /// A replica whose entries never arrive.
+    blocked: Option<KeeperId>,
 }
 
 impl Group {
@@ -57,19 +58,19 @@
             queues: BTreeMap::new(),
             direct: VecDeque::new(),
             now: 0,
-            appends_sent: 0,
+            blocked: None,
         }
     }
 
     fn carry_out(&mut self, effects: Effects) {
         for envelope in effects.messages {
-            if has_entries(&envelope) {
-                self.appends_sent += 1;
-            }
             let ordered = matches!(
                 envelope.message,
                 Message::AppendEntries { .. } | Message::InstallSnapshot { .. }
             );
+            if ordered && self.blocked == Some(envelope.from) {
+                continue;
+            }
             if ordered {
                 let queue = self.queues.entry((envelope.from, envelope.to)).or_default();
                 queue.waiting.push(envelope);
@@ -146,3 +147,39 @@
         assert!(committed >= last, "{committed} of {last}");
     }
 }
+
+/// Heartbeats alone kept such a leader in office, and nothing was committed any more.
+#[test]
+fn a_leader_whose_entries_never_arrive_steps_down() {
+    for seed in 0..20 {
+        let mut group = Group::new(seed);
+        while group.leader().is_none() {
+            group.tick();
+        }
+        for _ in 0..2 * BODY_TICKS {
+            group.tick();
+        }
+        let leader = group.leader().expect("a leader");
+        let id = leader.id();
+        let (_, effects) = leader.propose(vec![0; 400_000]).unwrap();
+        group.blocked = Some(id);
+        group.carry_out(effects);
+        let mut ticks = 0;
+        while group.leader().is_none_or(|leader| leader.id() == id) {
+            group.tick();
+            ticks += 1;
+            assert!(ticks < 2_000, "seed {seed}: no other leader");
+        }
+        let leader = group.leader().expect("another leader");
+        let (position, effects) = leader.propose(vec![0; 400_000]).unwrap();
+        group.carry_out(effects);
+        for _ in 0..4 * BODY_TICKS {
+            group.tick();
+        }
+        let committed = group.replicas.iter().map(Replica::commit_index).max();
+        assert!(
+            committed >= Some(position.index),
+            "seed {seed}: {committed:?}"
+        );
+    }
+}
