--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -41,7 +41,9 @@
         if !has_missing && !heartbeat {
             return;
         }
-        let (is_behind, match_index) = (progress.is_behind(), progress.match_index);
+        let needs_snapshot = progress.next_index <= self.log.snapshot().position.index;
+        let is_behind = progress.is_behind() || needs_snapshot;
+        let match_index = progress.match_index;
         if heartbeat && is_behind {
             // Entries and snapshots can take longer than an election timeout.
             let message = Message::Heartbeat {
@@ -206,6 +208,9 @@
         progress.record_answer();
         progress.acked_round = progress.acked_round.max(round);
         if let Some(index) = match_index {
+            if index > progress.match_index {
+                self.stalled_ticks = 0;
+            }
             progress.record_match(index);
         } else {
             progress.record_rejection(next_hint);
