keeper: requests that wait at several keepers no longer keep the shares apart

Cause: a keeper returned idle tokens only if no request waited at itself. Where the rest of a budget was split among shares of which none covered a request, and requests waited at all of these keepers, each kept its part.

Change: of the waiting keepers the one with the smallest demand is first, as it is when the ledger allocates; the others return what they hold.

Test: `tokens_split_among_keepers_at_which_requests_wait_serve_some_of_them` (three shares of 40, requests for 47 at all three keepers without a pause) failed before: none of six was served in 20 rounds.

--- a/crates/daemon/src/keeper/core/grants.rs
+++ b/crates/daemon/src/keeper/core/grants.rs
@@ -283,7 +283,8 @@
         }
     }
 
-    /// Returns idle tokens to the ledger if requests at other keepers wait for them.
+    /// Returns idle tokens to the ledger if requests at other keepers wait for them and are
+    /// served before those that wait at this one.
     pub(super) fn return_idle_tokens(&mut self) {
         let teams: Vec<TeamId> = self.state.ledger.waiting_teams().collect();
         if teams.is_empty() {
@@ -300,7 +301,9 @@
                 .map_or(Tokens::ZERO, |p| p.demand.required);
             let required = account.deficit().saturating_sub(own_required);
             let has_demand = !own_required.is_zero() || self.requested_demands.contains_key(&team);
-            if required.is_zero() || has_demand {
+            // Of keepers whose shares cover no request, all but the first give theirs up.
+            let is_behind = !own_required.is_zero() && account.first_waiting() != Some(self.id);
+            if required.is_zero() || has_demand && !is_behind {
                 continue;
             }
             let allocated = self.state.ledger.allocated(self.id, team);
--- a/crates/ledger/src/accounts.rs
+++ b/crates/ledger/src/accounts.rs
@@ -66,6 +66,16 @@
             .sum()
     }
 
+    /// Returns the waiting keeper that is served first: the one with the smallest demand.
+    #[must_use]
+    pub fn first_waiting(&self) -> Option<KeeperId> {
+        let waiting = self.allocations.iter();
+        let waiting = waiting.filter(|(_, allocation)| !allocation.demand.required.is_zero());
+        let first =
+            waiting.min_by_key(|(keeper, allocation)| (allocation.demand.required, **keeper));
+        first.map(|(&keeper, _)| keeper)
+    }
+
     /// Returns the tokens credited and not billed, whoever holds them.
     #[must_use]
     pub fn unspent(&self) -> Tokens {
--- a/crates/mulberryctl/tests/failures.rs
+++ b/crates/mulberryctl/tests/failures.rs
@@ -6,13 +6,19 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use base::EntryId;
 use base::KeeperId;
+use base::LeaseId;
 use base::RequestId;
 use base::Span;
 use base::TeamId;
+use base::Tokens;
 use daemon::entry::execution::request_digest;
 use fleet::PeerRequest;
 use fleet::PeerResponse;
+use fleet::wire::AcquireTokens;
+use fleet::wire::Demand;
+use fleet::wire::TokenGrant;
 use futures_lite::AsyncReadExt as _;
 use futures_lite::future::block_on;
 use host::Pool;
@@ -617,6 +623,79 @@
     });
 }
 
+/// Asks a keeper for tokens as an entry with a lease of its own does; returns the grant.
+async fn acquire(
+    site: &LocalSite,
+    keeper: usize,
+    epoch: u64,
+    (required, returned): (u64, u64),
+    first_use: bool,
+) -> TokenGrant {
+    let request = AcquireTokens {
+        lease: LeaseId {
+            entry: EntryId(1_000 + keeper as u64),
+            epoch,
+        },
+        address: site.operator.address(),
+        demands: vec![Demand {
+            team: TeamId::from_name(&team_name(0)),
+            required: Tokens(required),
+            prefetch: Tokens::ZERO,
+            returned: Tokens(returned),
+        }],
+        first_use,
+        close: false,
+    };
+    let message = PeerRequest::AcquireTokens(request);
+    let address = site.peers[keeper].address;
+    let response = site.operator.request(address, message, Span::secs(5)).await;
+    match response.unwrap() {
+        PeerResponse::Granted(granted) => granted[0],
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Each keeper's share covers no request, all of them together cover two. Requests that wait
+/// at every keeper must not keep the shares apart.
+#[test]
+fn tokens_split_among_keepers_at_which_requests_wait_serve_some_of_them() {
+    let pool = Pool::start(4);
+    block_on(async {
+        let small_budget = Layout {
+            team_budget: 120,
+            ..layout()
+        };
+        let site = site(&pool, "split", &small_budget).await;
+        for keeper in 0..3 {
+            let grant = acquire(&site, keeper, 1, (40, 0), true).await;
+            assert_eq!(grant.total, Tokens(40));
+            acquire(&site, keeper, 1, (0, 40), false).await;
+        }
+        // Two entries ask each keeper in turn, so that a request waits at all times.
+        let mut tasks = Vec::new();
+        for n in 0..6 {
+            let site = Arc::clone(&site);
+            tasks.push(pool.spawn_with_handle(async move {
+                Timer::after(Duration::from_millis(200 * (n as u64 / 3))).await;
+                for round in 0..20 {
+                    let epoch = 2 + n as u64;
+                    let grant = acquire(&site, n % 3, epoch, (47, 0), round == 0).await;
+                    if !grant.unmet {
+                        return true;
+                    }
+                }
+                false
+            }));
+        }
+        let mut served = 0;
+        for task in tasks {
+            served += u32::from(task.await);
+        }
+        assert!(served > 0, "120 tokens serve none of six requests for 47");
+        assert!(served <= 2);
+    });
+}
+
 #[test]
 fn an_entry_in_a_planned_stop_finishes_its_requests_and_returns_its_leases() {
     let pool = Pool::start(4);
