soak: at most eight changes are in progress at once

In a rollout the operator submitted as many changes at once as a storm has, each sent again until acknowledged; the platform's operator has eight in progress.

--- a/crates/soak/src/rollout.rs
+++ b/crates/soak/src/rollout.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddrV4;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::Condvar;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -79,6 +80,9 @@
 /// last.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(1_600));
 
+/// Maximum number of changes that the operator submits at the same time.
+const MAX_SUBMISSIONS: usize = 8;
+
 /// Range of the pause between two requests to the same process, in milliseconds.
 const REQUEST_PAUSE_MS: std::ops::Range<u64> = 60..140;
 
@@ -183,6 +187,9 @@
     history: Mutex<History>,
     broken: Mutex<BTreeMap<String, (u64, String)>>,
     requests: Mutex<u64>,
+    /// Number of changes that wait for their acknowledgement.
+    submissions: Mutex<usize>,
+    submission_ended: Condvar,
     /// Times at which a process or its link was disturbed.
     disturbed: Mutex<Vec<u64>>,
 }
@@ -295,8 +302,21 @@
         );
     }
 
-    /// Submits a version until it is acknowledged, and checks the time that this takes.
+    /// Submits a version like [`Self::submit_now`], once there are fewer than
+    /// [`MAX_SUBMISSIONS`].
     fn submit(&self, number: u64, routes: &RouteSet) -> bool {
+        let running = lock(&self.submissions);
+        let full = |running: &mut usize| *running >= MAX_SUBMISSIONS;
+        let waited = self.submission_ended.wait_while(running, full);
+        *waited.unwrap_or_else(PoisonError::into_inner) += 1;
+        let acknowledged = self.submit_now(number, routes);
+        *lock(&self.submissions) -= 1;
+        self.submission_ended.notify_one();
+        acknowledged
+    }
+
+    /// Submits a version until it is acknowledged, and checks the time that this takes.
+    fn submit_now(&self, number: u64, routes: &RouteSet) -> bool {
         let names: Vec<String> = routes.iter().map(|key| key.to_string()).collect();
         let body = test_support::write_site(&SiteContent {
             version: number,
@@ -473,6 +493,8 @@
             history: Mutex::default(),
             broken: Mutex::default(),
             requests: Mutex::default(),
+            submissions: Mutex::default(),
+            submission_ended: Condvar::new(),
             disturbed: Mutex::default(),
         });
         let core_size = settings.gateways.iter().filter(|shape| shape.has_disk);
