Send a submitted configuration to the leader once

A process first asks the leader for the outcome of the version, and sends the body only if it has neither been accepted nor proposed, behind all other data. The test of resubmissions checks the three answers.

--- a/crates/fleet/src/mesh.rs
+++ b/crates/fleet/src/mesh.rs
@@ -92,6 +92,8 @@
     Submit(u64, Vec<u8>),
     /// Asks for the version of the latest accepted configuration (a linearizable read).
     LatestVersion,
+    /// Asks for the outcome of a configuration that may have been submitted already.
+    AwaitConfig(u64),
     /// Asks for the part of a version of the configuration that begins at an offset.
     ConfigPart(u64, u64),
     /// Asks for tokens under the sender's lease.
@@ -112,6 +114,18 @@
     CrashNews(Box<CrashNews>),
 }
 
+impl MeshRequest {
+    /// Returns whether the request carries a configuration.
+    #[must_use]
+    pub fn is_bulk(&self) -> bool {
+        match self {
+            Self::Submit(..) => true,
+            Self::Forward(request) => request.is_bulk(),
+            _ => false,
+        }
+    }
+}
+
 /// The response to a [`MeshRequest`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MeshResponse {
@@ -133,6 +147,8 @@
     Opened(Vec<(String, u64)>),
     /// The receiver is not the leader; contains the leader that it knows.
     NotLeader(Option<SocketAddr>),
+    /// The version has neither been accepted nor proposed.
+    UnknownVersion,
     /// The receiver can't answer at present.
     Unavailable,
 }
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -46,6 +46,10 @@
 /// one second, so a later response tells it nothing.
 const CONFIG_TIMEOUT: Span = Span::millis(550);
 
+/// Maximum wait for the leader to say whether it knows a version, before a peer is asked that
+/// may reach it.
+const AWAIT_TIMEOUT: Span = Span::millis(200);
+
 /// Binds `address` and serves control requests on it.
 ///
 /// # Errors
@@ -234,8 +238,7 @@
         log::info!("config: event=submit version={version} outcome=acknowledged newest={present}");
         return (200, b"{}".to_vec());
     }
-    let request = MeshRequest::Submit(version, PackedConfig::pack(body).as_bytes().to_vec());
-    match leader_requests::request_leader(shared, &request, CONFIG_TIMEOUT).await {
+    match propose_config(shared, version, body).await {
         MeshResponse::Version(newest) => {
             log::info!(
                 "config: event=submit version={version} outcome=acknowledged newest={newest}"
@@ -252,6 +255,19 @@
     }
 }
 
+/// Proposes a configuration to the leader. Its body is sent only if the leader doesn't know the
+/// version yet: the operator sends a version again until it is acknowledged.
+async fn propose_config(shared: &ProcessContext, version: u64, body: &[u8]) -> MeshResponse {
+    let known = MeshRequest::AwaitConfig(version);
+    let answer = leader_requests::request_leader(shared, &known, AWAIT_TIMEOUT).await;
+    if answer != MeshResponse::UnknownVersion {
+        return answer;
+    }
+    let packed = PackedConfig::pack(body).as_bytes().to_vec();
+    let request = MeshRequest::Submit(version, packed);
+    leader_requests::request_leader(shared, &request, CONFIG_TIMEOUT).await
+}
+
 fn response_label(response: &MeshResponse) -> &'static str {
     match response {
         MeshResponse::NotLeader(_) => "no_leader",
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -94,6 +94,8 @@
     /// Proposes a configuration: its version, its compressed form and the budgets of its
     /// teams.
     SubmitConfig(u64, Vec<u8>, Vec<(String, u64)>, Reply),
+    /// Waits for the outcome of a configuration that may have been proposed already.
+    AwaitConfig(u64, Reply),
     /// Reads the version of the latest accepted configuration (a linearizable read).
     ReadVersion(Reply),
     /// Proposes the demands of an entry under its lease.
@@ -129,6 +131,7 @@
             Self::SubmitConfig(_, body, ..) => INPUT_OVERHEAD_BYTES + body.len() as u64,
             Self::FormGroup | Self::Stop(_) => 0,
             Self::ReadVersion(_)
+            | Self::AwaitConfig(..)
             | Self::DrawGrants(..)
             | Self::RecordMark(..)
             | Self::FenceLease(..)
@@ -564,6 +567,11 @@
             Input::SubmitConfig(version, body, budgets, reply) => {
                 self.submit_config(version, body, budgets, reply);
             }
+            Input::AwaitConfig(version, reply) => {
+                if let Some(reply) = self.join_proposal(version, reply) {
+                    self.responses.push((reply, MeshResponse::UnknownVersion));
+                }
+            }
             Input::DrawGrants(lease, demands, reply) => {
                 self.propose(&Command::Draw { lease, demands }, reply);
             }
@@ -589,6 +597,23 @@
         }
     }
 
+    /// Answers if a version has been accepted, or lets `reply` wait for its proposal; returns
+    /// `reply` if there is none.
+    fn join_proposal(&mut self, version: u64, reply: Reply) -> Option<Reply> {
+        let accepted = self.local.state.config_version;
+        if version <= accepted {
+            self.responses
+                .push((reply, MeshResponse::Version(accepted)));
+            return None;
+        }
+        let mut pending = self.proposals.values_mut();
+        let Some(same) = pending.find(|proposal| proposal.config_version == Some(version)) else {
+            return Some(reply);
+        };
+        same.replies.push(reply);
+        None
+    }
+
     /// Proposes a configuration, unless its version has been accepted or proposed already: the
     /// operator sends a version again until it is acknowledged.
     fn submit_config(
@@ -598,17 +623,10 @@
         budgets: Vec<(String, u64)>,
         reply: Reply,
     ) {
-        let accepted = self.local.state.config_version;
-        if version <= accepted {
-            self.responses
-                .push((reply, MeshResponse::Version(accepted)));
-            return;
-        }
-        let mut pending = self.proposals.values_mut();
-        if let Some(same) = pending.find(|proposal| proposal.config_version == Some(version)) {
-            same.replies.push(reply);
+        let Some(reply) = self.join_proposal(version, reply) else {
             return;
-        }
+        };
+        let accepted = self.local.state.config_version;
         let voters = self.local.replica.members().voters.len();
         if accepted == 0 && voters < self.options.policy.min_voters {
             self.responses.push((reply, MeshResponse::Unavailable));
--- a/crates/gateway/src/leader_requests.rs
+++ b/crates/gateway/src/leader_requests.rs
@@ -18,6 +18,7 @@
 use crate::group::JoinRequest;
 use crate::mesh::reachable_peers;
 use crate::mesh::request_peer;
+use crate::mesh::request_peer_bulk;
 use crate::state::ProcessContext;
 use crate::state::read_site;
 
@@ -55,6 +56,7 @@
             let budgets = teams.filter_map(|team| Some((team.name, team.budget?)));
             Input::SubmitConfig(version, body, budgets.collect(), reply)
         }
+        MeshRequest::AwaitConfig(version) => Input::AwaitConfig(version, reply),
         MeshRequest::LatestVersion => Input::ReadVersion(reply),
         MeshRequest::Draw(lease, demands) => Input::DrawGrants(lease, demands, reply),
         MeshRequest::Join(id, disk, address) => {
@@ -113,9 +115,28 @@
         return MeshResponse::Unavailable;
     };
     let request = MeshRequest::Forward(Box::new(request.clone()));
-    request_peer(shared, address, request, FORWARD_TIMEOUT)
-        .await
-        .unwrap_or(MeshResponse::Unavailable)
+    send_to_leader(shared, address, &request, FORWARD_TIMEOUT).await
+}
+
+/// Sends a request to the leader or to a peer that forwards it; a configuration goes behind
+/// all other data for the receiver.
+async fn send_to_leader(
+    shared: &ProcessContext,
+    address: SocketAddr,
+    request: &MeshRequest,
+    timeout: Span,
+) -> MeshResponse {
+    let answer = if request.is_bulk() {
+        let timed_out = async {
+            Timer::after(timeout.into()).await;
+            None
+        };
+        let answer = request_peer_bulk(shared, address, request.clone(), timeout);
+        answer.or(timed_out).await
+    } else {
+        request_peer(shared, address, request.clone(), timeout).await
+    };
+    answer.unwrap_or(MeshResponse::Unavailable)
 }
 
 /// Sends a request to the leader and repeats it on failure, for at most `timeout`.
@@ -134,9 +155,7 @@
             }
             (Some(address), _) => {
                 let peer_timeout = LEADER_TIMEOUT.min(shared.now().until(deadline));
-                request_peer(shared, address, request.clone(), peer_timeout)
-                    .await
-                    .unwrap_or(MeshResponse::Unavailable)
+                send_to_leader(shared, address, request, peer_timeout).await
             }
             (None, _) => MeshResponse::NotLeader(None),
         };
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -112,13 +112,17 @@
         MeshRequest::Forward(request) => match *request {
             // A request is forwarded only once. The sender can't reach the leader, but
             // this process may.
-            MeshRequest::Submit(..) | MeshRequest::LatestVersion | MeshRequest::Draw(..) => {
+            MeshRequest::Submit(..)
+            | MeshRequest::AwaitConfig(_)
+            | MeshRequest::LatestVersion
+            | MeshRequest::Draw(..) => {
                 request_leader_directly(&shared, &request, FORWARDED_REQUEST_TIMEOUT).await
             }
             _ => MeshResponse::Unavailable,
         },
         MeshRequest::Join(..)
         | MeshRequest::Submit(..)
+        | MeshRequest::AwaitConfig(_)
         | MeshRequest::LatestVersion
         | MeshRequest::Draw(..) => {
             let leader = shared.state().leader;
--- a/crates/gateway/tests/resubmission.rs
+++ b/crates/gateway/tests/resubmission.rs
@@ -55,6 +55,15 @@
             let answer = submit(&group, version).recv().await;
             assert_eq!(answer, Ok(MeshResponse::Version(5)));
         }
+        for (version, expected) in [
+            (4, MeshResponse::Version(5)),
+            (5, MeshResponse::Version(5)),
+            (6, MeshResponse::UnknownVersion),
+        ] {
+            let (reply, answer) = async_channel::bounded(1);
+            group.send(Input::AwaitConfig(version, reply));
+            assert_eq!(answer.recv().await, Ok(expected), "version {version}");
+        }
         let answers: Vec<_> = (0..8).map(|_| submit(&group, 7)).collect();
         for answer in answers {
             assert_eq!(answer.recv().await, Ok(MeshResponse::Version(7)));
