Wait for control messages less than an election timeout

Found by the review: since a dead peer's connection is no longer closed at the first timeout, a batch of heartbeats or votes to it could hold up the next one for a second, longer than the shortest election timeout of 400 ms.

--- a/crates/gateway/src/replica_messages.rs
+++ b/crates/gateway/src/replica_messages.rs
@@ -14,10 +14,13 @@
 use crate::outbox::Lane;
 use crate::state::ProcessContext;
 
-/// Maximum wait for a peer to accept consensus messages: a megabyte takes half a second
-/// on the slowest links.
+/// Time after which a peer must be receiving a batch of entries, or the batch is given up.
 const REPLICA_MESSAGE_TIMEOUT: Span = Span::millis(1_000);
 
+/// Maximum wait for a peer to accept heartbeats, votes and responses: less than the shortest
+/// election timeout, since those that follow wait as long.
+const CONTROL_TIMEOUT: Span = Span::millis(300);
+
 /// Time from which the delivery of a batch is logged.
 const SLOW_BATCH: Span = Span::millis(200);
 
@@ -84,7 +87,7 @@
         .sum();
     let request = MeshRequest::Replica(batch);
     let delivered = match lane {
-        Lane::Control => request_peer(shared, address, request, REPLICA_MESSAGE_TIMEOUT).await,
+        Lane::Control => request_peer(shared, address, request, CONTROL_TIMEOUT).await,
         Lane::Log => request_peer_bulk(shared, address, request, REPLICA_MESSAGE_TIMEOUT).await,
     };
     let delivered = delivered.is_some();
