Fetch configurations from replicas first, and ask again for the latest one

Found by the review: a process without a disk on a slow link that had a version first was asked by all its neighbours; a confirmation waited without bound for a version that may have been overtaken; a transfer went on for a version that the log had brought meanwhile.

--- a/crates/config/src/transfer.rs
+++ b/crates/config/src/transfer.rs
@@ -74,6 +74,13 @@
         }
     }
 
+    /// Drops what has arrived of `version` or an older one, which is in force already.
+    pub fn drop_older(&mut self, version: u64) {
+        if self.version <= version {
+            *self = Self::default();
+        }
+    }
+
     /// Adds a part; returns the configuration once it is complete.
     ///
     /// The first part of a newer version replaces what has arrived of an older one: its
--- a/crates/gateway/src/config_sync.rs
+++ b/crates/gateway/src/config_sync.rs
@@ -49,8 +49,8 @@
             let delay = by_log.then(|| Span(LOG_DELAY.0 - behind.0));
             (state.held_config.missing_version(), delay)
         };
+        download.drop_older(shared.config_version());
         let Some(missing) = missing else {
-            download = Download::default();
             listener.await;
             continue;
         };
@@ -75,8 +75,9 @@
     }
 }
 
-/// Returns a peer that holds `version` or a newer one, preferably in this failure domain and
-/// not the one that has just failed; the leader if no peer is known to.
+/// Returns a peer that holds `version` or a newer one, and not the one that has just failed;
+/// the leader if no peer is known to. Replicas come before other processes, whose links can be
+/// slow, and peers in this failure domain before those in others.
 fn choose_source(
     shared: &ProcessContext,
     version: u64,
@@ -91,13 +92,13 @@
             && heard.is_some_and(|at| at.until(now) < REACHABLE_TIMEOUT)
     };
     let holders: Vec<&Peer> = state.peers.values().filter(holds).collect();
-    let near = holders
-        .iter()
-        .filter(|peer| peer.member.domain == shared.settings.domain);
-    let near: Vec<&&Peer> = near.collect();
-    let chosen = fastrand::choice(near)
-        .copied()
-        .or(fastrand::choice(holders));
+    let rank = |peer: &Peer| {
+        let is_near = peer.member.domain == shared.settings.domain;
+        (!is_near, peer.member.keeper.is_none())
+    };
+    let best = holders.iter().map(|peer| rank(peer)).min();
+    let candidates = holders.iter().filter(|peer| Some(rank(peer)) == best);
+    let chosen = fastrand::choice(candidates.collect::<Vec<_>>());
     let leader = state
         .leader
         .filter(|&leader| leader != shared.own_member.address);
@@ -144,7 +145,11 @@
     loop {
         let answer = request_leader(&shared, &MeshRequest::LatestVersion, LEADER_TIMEOUT).await;
         if let MeshResponse::Version(version) = answer {
-            wait_for_version(&shared, version).await;
+            let timed_out = async {
+                Timer::after(LEADER_TIMEOUT.into()).await;
+            };
+            // Asked again after a while: there may be a newer version by then.
+            wait_for_version(&shared, version).or(timed_out).await;
             if shared.state().held_config.confirm(version) {
                 log::info!("config: event=confirmed version={version}");
                 return;
