Tell of a new configuration before it is in force

Found by the review: a process that received a version parsed it before it counted itself as behind, denied requests by the old one meanwhile, and told nobody; and after the loss of all that held a version, every process that had heard of it would have refused all requests until they were back.

A version counts as missing before it is parsed, and peers are told of the newest version heard of beside the one in force. An overdue configuration stops requests only while a reachable process has a newer one in force. A denial uses the configuration and what is known of it as of one moment.

--- a/crates/config/src/held.rs
+++ b/crates/config/src/held.rs
@@ -88,8 +88,7 @@
 
     /// Records that `version` has been accepted; returns whether it is news.
     pub fn record_version(&mut self, version: u64, now: Time) -> bool {
-        let newest = self.missing_version().unwrap_or(self.version());
-        if version <= newest {
+        if version <= self.newest_version() {
             return false;
         }
         let full = self.missing.len() >= MAX_MISSING_VERSIONS;
@@ -106,6 +105,12 @@
         self.missing.back().map(|(version, _)| *version)
     }
 
+    /// Returns the newest version heard of, in force or not.
+    #[must_use]
+    pub fn newest_version(&self) -> u64 {
+        self.missing_version().unwrap_or(self.version())
+    }
+
     /// Records that the group has confirmed `version` as the latest one since the start of
     /// the process. It counts once that version is in force here.
     pub fn confirm(&mut self, version: u64) -> bool {
--- a/crates/fleet/src/mesh.rs
+++ b/crates/fleet/src/mesh.rs
@@ -67,6 +67,8 @@
     pub prompts: Vec<SentPrompt>,
     /// The version of the configuration that is in force at the sender.
     pub config_version: u64,
+    /// The newest version that the sender has heard of.
+    pub newest_version: u64,
     /// The leader of the group, as far as the sender knows.
     pub leader: Option<SocketAddr>,
     /// The replica that forms the group, if the sender knows it.
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -180,10 +180,11 @@
 }
 
 async fn respond(shared: &Arc<ProcessContext>, request: &Request, caller: &Conn) -> RequestOutcome {
-    let (site, overdue) = {
+    let (site, is_current, overdue) = {
         let state = shared.state();
         let overdue = state.is_config_overdue(&shared.settings, shared.now());
-        (state.site_index.clone(), overdue)
+        let is_current = state.held_config.is_current();
+        (state.site_index.clone(), is_current, overdue)
     };
     let mut reply = CallerReply::new(request.close);
     let outcome = match &site {
@@ -194,9 +195,7 @@
     let cause = match outcome {
         Ok(outcome) => return outcome,
         // Only the latest configuration shows that a route or a key doesn't exist.
-        Err(cause) if cause.is_denial() && !shared.state().held_config.is_current() => {
-            RejectionCause::StaleConfig
-        }
+        Err(cause) if cause.is_denial() && !is_current => RejectionCause::StaleConfig,
         Err(cause) => cause,
     };
     let now = shared.now();
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -297,7 +297,7 @@
         state.founder = update.founder;
     }
     drop(state);
-    shared.record_config_version(update.config_version);
+    shared.record_config_version(update.newest_version);
     if changed && shared.group.is_some() {
         shared.update_needed.notify(usize::MAX);
     }
@@ -348,6 +348,7 @@
         loads,
         prompts: state.sent_prompts.clone(),
         config_version: state.held_config.version(),
+        newest_version: state.held_config.newest_version(),
         leader: state.leader,
         founder: state.founder,
         lease: state.grants.lease_id(),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -46,6 +46,7 @@
 
 use crate::connection_pool::ConnectionPool;
 use crate::group::Group;
+use crate::mesh::REACHABLE_TIMEOUT;
 use crate::metrics::GatewayMetrics;
 use crate::outbox::Lane;
 use crate::outbox::Outbox;
@@ -304,10 +305,20 @@
 
     /// Returns whether a newer configuration has been known for so long that requests can't be
     /// handled by the present one any more.
+    ///
+    /// While no reachable process has it in force, as after the loss of those that accepted it,
+    /// the present one stays in use.
     #[must_use]
     pub fn is_config_overdue(&self, settings: &NodeSettings, now: Time) -> bool {
         let apply = Span::millis(settings.bounds.config_apply_ms);
-        self.held_config.time_behind(now) > Span(apply.0 / OVERDUE_DIVISOR)
+        let is_late = self.held_config.time_behind(now) > Span(apply.0 / OVERDUE_DIVISOR);
+        let present = self.held_config.version();
+        let holds_newer = |peer: &Peer| {
+            let heard = peer.last_direct;
+            peer.config_version > present
+                && heard.is_some_and(|at| at.until(now) < REACHABLE_TIMEOUT)
+        };
+        is_late && self.peers.values().any(holds_newer)
     }
 
     /// Sets the leader's address from the leader that the local replica reports; `None` if
@@ -459,6 +470,8 @@
         let now = self.now();
         if self.state().held_config.record_version(version, now) {
             self.config_news.notify(usize::MAX);
+            // Peers learn of it before it is in force here.
+            self.update_needed.notify(usize::MAX);
         }
     }
 
@@ -471,6 +484,7 @@
         if version <= present {
             return true;
         }
+        self.record_config_version(version);
         let site = match read_site(&config.body) {
             Ok(site) => site,
             Err(error) => {
