--- a/crates/fleet/tests/abandoned_requests.rs
+++ b/crates/fleet/tests/abandoned_requests.rs
@@ -82,7 +82,7 @@
         for _ in 0..6 {
             let body = MeshRequest::Submit(1, vec![7; BODY_BYTES]);
             let request = PeerRequest::Mesh(body);
-            let answer = client.request_bulk(address, request, Span::millis(200));
+            let answer = client.request(address, request, Span::millis(200));
             assert!(answer.await.is_err());
         }
     });
