consensus: a learner votes for candidates that may list it as a voter

What callers would see: no leader for good, so no configuration is read or acknowledged and no tokens are granted (CONFIG).

Cause: a replica refused its vote while its own log listed it as a learner. The entry that promotes it may be on the leader's disk only when all processes end. If that entry raises the quorum and another voter is gone for good, the leader needs the newcomer's vote, and the others can't win against the leader's longer log.

Change: a vote depends on the term and the log only. A candidate counts the votes of those it lists as voters, from the disks that it lists.

Evidence: the test in rules.rs fails on the former code. fuzz.rs keeps the safety properties in its random histories.

--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -583,11 +583,12 @@
             self.step_down(term, None, effects);
         }
         let can_vote = self.hard_state.vote.is_none() || self.hard_state.vote == Some(from);
+        // A learner may have become a voter by an entry that it hasn't received. Only candidates
+        // that list it as a voter count its vote.
         let granted = term == self.hard_state.term
             && up_to_date
             && can_vote
-            && self.role == Role::Follower
-            && self.members().is_voter(self.id);
+            && self.role == Role::Follower;
         if granted && self.hard_state.vote.is_none() {
             self.hard_state.vote = Some(from);
             effects.writes.push(LogWrite::Save(self.hard_state));
--- a/crates/consensus/tests/rules.rs
+++ b/crates/consensus/tests/rules.rs
@@ -164,3 +164,23 @@
     let without_learner = [id(1), id(2), id(3), id(4)];
     assert_eq!(members.removable_member(&without_learner, 3), Some(id(5)));
 }
+
+/// Guards against a group without a leader for good: all processes ended while the entry that
+/// promotes a learner was on the leader's disk only, and its majority needs the learner's vote.
+#[test]
+fn a_learner_votes_for_a_candidate_that_may_list_it_as_a_voter() {
+    let mut members = members();
+    let disk = members.voters.remove(&KeeperId(0)).expect("a voter");
+    members.learners.insert(KeeperId(0), disk);
+    let snapshot = Snapshot {
+        members,
+        ..Snapshot::default()
+    };
+    let log = Log::new(snapshot, vec![entry(1, 1, Payload::Noop)]);
+    let mut learner = Replica::new(KeeperId(0), 1, HardState::default(), log, 1);
+    assert!(granted(&learner.receive(vote_request(1, 5))));
+    assert!(
+        !granted(&learner.receive(vote_request(2, 5))),
+        "one vote per term"
+    );
+}
