--- a/crates/mulberryctl/src/command.rs
+++ b/crates/mulberryctl/src/command.rs
@@ -107,6 +107,12 @@
                 "series",
                 "add series of stops, reloads and configurations that overlap",
             );
+            options.optopt(
+                "",
+                "replacements",
+                "replace so many machines with a disk, one after the other",
+                "N",
+            );
             options.optopt(
                 "",
                 "gateways",
@@ -154,6 +160,7 @@
                 departures: matches.opt_present("departures"),
                 series: matches.opt_present("series"),
                 rollout: rollout_plan(matches)?,
+                replacements: matches.opt_get("replacements")?,
             };
             soak_tool::run(&plan)
         },
--- a/crates/mulberryctl/src/soak_tool.rs
+++ b/crates/mulberryctl/src/soak_tool.rs
@@ -13,6 +13,8 @@
 use eyre::bail;
 use soak::RunSettings;
 use soak::SoakError;
+use soak::replacements;
+use soak::replacements::ReplacementSettings;
 use soak::rollout;
 use soak::rollout::RolloutSettings;
 use soak::timeline;
@@ -40,6 +42,8 @@
     pub series: bool,
     /// The rollout of large configurations, instead of the run with faults.
     pub rollout: Option<RolloutPlan>,
+    /// Number of machines that are replaced, instead of the run with faults.
+    pub replacements: Option<usize>,
 }
 
 /// Sizes of a rollout.
@@ -89,6 +93,17 @@
     Ok((serde_json::json!(report), report.breaches.is_empty()))
 }
 
+fn run_replacements(plan: &SoakPlan, seed: u64, count: usize) -> Outcome {
+    let report = replacements::run(&ReplacementSettings {
+        seed,
+        replacements: replacements::generate(seed, count),
+        callers: plan.callers,
+        daemon_path: plan.daemon.clone(),
+        folder: soak::run::run_folder(&plan.folder, seed),
+    })?;
+    Ok((serde_json::json!(report), report.breaches.is_empty()))
+}
+
 /// Runs all seeds and prints a line for each.
 ///
 /// # Errors
@@ -110,9 +125,10 @@
                         return;
                     }
                     let seed = plan.first_seed + run;
-                    let outcome = match plan.rollout {
-                        Some(sizes) => run_rollout(plan, seed, sizes),
-                        None => run_faults(plan, seed),
+                    let outcome = match (plan.rollout, plan.replacements) {
+                        (Some(sizes), _) => run_rollout(plan, seed, sizes),
+                        (None, Some(count)) => run_replacements(plan, seed, count),
+                        (None, None) => run_faults(plan, seed),
                     };
                     match outcome {
                         Ok((report, sound)) => {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`plan`]: the faults of a seed.
 //! - [`process`]: starts, signals and kills processes by their ids.
 //! - [`proxy`]: a loopback proxy that delays, resets or stalls traffic.
+//! - [`replacements`]: machines with a disk that are replaced one after the other.
 //! - [`rollout`]: large configurations and storms of changes at gateways with limited links.
 //! - [`run`]: one run, from its seed to its report.
 //! - [`setup`]: free ports, and the announcements of engines.
@@ -26,6 +27,7 @@
 pub mod plan;
 pub mod process;
 pub mod proxy;
+pub mod replacements;
 pub mod rollout;
 pub mod run;
 pub mod setup;
