group: syncs of the disk don't delay later ticks

Cause: the next tick was due an interval after the last one had been handled, with its sync.

Change: ticks keep their interval. Those missed in a pause are skipped, as before.

--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -51,6 +51,7 @@
 use crate::replicated_state::Outcome;
 use crate::replicated_state::ReplicatedState;
 use crate::state::holder_id;
+use crate::ticker::Ticker;
 use crate::witness_log::WitnessLog;
 
 /// Time between two ticks. An election then takes half a second to a second, which an
@@ -479,10 +480,9 @@
         if self.local.state.config_version > 0 {
             self.publish_config();
         }
-        let mut due = Instant::now() + TICK_INTERVAL;
+        let mut ticker = Ticker::new(TICK_INTERVAL, Instant::now());
         loop {
-            let wait = due.saturating_duration_since(Instant::now());
-            let first = queue.recv_timeout(wait);
+            let first = queue.recv_timeout(ticker.remaining(Instant::now()));
             if matches!(first, Err(RecvTimeoutError::Disconnected)) {
                 return Ok(());
             }
@@ -495,10 +495,7 @@
                     .then(|| queue.try_recv().ok())
                     .flatten();
             }
-            if Instant::now() >= due {
-                // Ticks missed during a pause of the process are skipped: no message
-                // could be received in it.
-                due = Instant::now() + TICK_INTERVAL;
+            if ticker.take_due(Instant::now()) {
                 let at = self.base_ms + duration_ms(self.started_at.elapsed());
                 let effects = self.local.replica.tick(at);
                 self.effects.merge(effects);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 //! - [`replicated_state`]: the state machine of the replicated log.
 //! - [`settlement`]: closes leases that have ended.
 //! - [`state`]: the shared state of a process.
+//! - [`ticker`]: when the replica's thread ticks.
 //! - [`witness`]: records entries' high-water marks at witnesses.
 //! - [`witness_log`]: the journal of high-water marks on a witness's disk.
 
@@ -49,6 +50,7 @@
 pub mod replicated_state;
 pub mod settlement;
 pub mod state;
+pub mod ticker;
 pub mod witness;
 pub mod witness_log;
 
