gateway: a planned stop ends with an answer to every request

What operators of like systems saw: requests that came late in the grace period were taken and passed on, and cut without an answer at its end, calls that may not be repeated among them (LOST).

Cause, here: within 2.8 s of the stop's start every request was accepted, whatever its timeout, also where the grace period is shorter; and the process ended while requests were in progress, without a word to their callers. Late requests were only accepted if they end in time, as before.

Change: calls that may run once are only accepted by a stopping process if their timeout ends before it does; otherwise 503, not run, at once. The window for others is half of the grace period at most. At its end what has no answer yet gets 502, "whether the request ran is unknown", and a stream that has begun is broken off as before.

--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -40,6 +40,7 @@
 use platform::headers::UpstreamRequest;
 use routing::RequestMetadata;
 use routing::admission;
+use routing::admission::Shutdown;
 use routing::directory::EngineAnnouncement;
 use routing::placement::EngineChoice;
 use routing::placement::PlacementError;
@@ -153,6 +154,16 @@
     reuse: ConnectionReuse,
 }
 
+/// How the work on a request ended.
+enum WorkEnd {
+    /// With its outcome.
+    Done(RequestOutcome),
+    /// The caller closed its connection.
+    CallerLeft,
+    /// This process has reached the end of its grace period.
+    ProcessStops,
+}
+
 /// Handles `request` and writes the response to its caller's connection.
 pub async fn handle_request(
     shared: &Arc<ProcessContext>,
@@ -160,37 +171,53 @@
     caller: &mut Conn,
 ) -> RequestOutcome {
     let mut pipelined = Vec::new();
-    let outcome = {
+    let mut reply = CallerReply::new(request.close);
+    let end = {
         let conn = &*caller;
-        let work = async { Some(respond(shared, request, conn).await) };
+        let work = async { WorkEnd::Done(respond(shared, request, &mut reply, conn).await) };
         let disconnected = async {
             conn.wait_closed(&mut pipelined).await;
-            None
+            WorkEnd::CallerLeft
+        };
+        let stopped = async {
+            shared.work_ended().await;
+            WorkEnd::ProcessStops
         };
-        disconnected.or(work).await
+        disconnected.or(work).or(stopped).await
     };
     caller.buf.extend_from_slice(&pipelined);
-    let id = request.metadata.id.as_deref().unwrap_or("-");
-    let elapsed_ms = request.arrived_at.until(shared.now()).as_millis();
-    outcome.unwrap_or_else(|| {
-        shared.metrics.record_caller_left();
-        log::info!("request: id={id} event=end outcome=caller_left ms={elapsed_ms}");
-        RequestOutcome::Aborted
-    })
+    match end {
+        WorkEnd::Done(outcome) => outcome,
+        WorkEnd::CallerLeft => {
+            shared.metrics.record_caller_left();
+            let id = request.metadata.id.as_deref().unwrap_or("-");
+            let elapsed_ms = request.arrived_at.until(shared.now()).as_millis();
+            log::info!("request: id={id} event=end outcome=caller_left ms={elapsed_ms}");
+            RequestOutcome::Aborted
+        }
+        WorkEnd::ProcessStops => {
+            let cause = RejectionCause::Interrupted;
+            reject(shared, request, cause, &mut reply, caller).await
+        }
+    }
 }
 
-async fn respond(shared: &Arc<ProcessContext>, request: &Request, caller: &Conn) -> RequestOutcome {
+async fn respond(
+    shared: &Arc<ProcessContext>,
+    request: &Request,
+    reply: &mut CallerReply,
+    caller: &Conn,
+) -> RequestOutcome {
     let (site, is_current, overdue) = {
         let state = shared.state();
         let overdue = state.is_config_overdue(&shared.settings, shared.now());
         let is_current = state.held_config.is_current();
         (state.site_index.clone(), is_current, overdue)
     };
-    let mut reply = CallerReply::new(request.close);
     let outcome = match &site {
         None => Err(RejectionCause::Unconfigured),
         Some(_) if overdue => Err(RejectionCause::StaleConfig),
-        Some(site) => admit(shared, site, request, &mut reply, caller).await,
+        Some(site) => admit(shared, site, request, reply, caller).await,
     };
     let cause = match outcome {
         Ok(outcome) => return outcome,
@@ -198,8 +225,18 @@
         Err(cause) if cause.is_denial() && !is_current => RejectionCause::StaleConfig,
         Err(cause) => cause,
     };
-    let now = shared.now();
-    let elapsed_ms = request.arrived_at.until(now).as_millis();
+    reject(shared, request, cause, reply, caller).await
+}
+
+/// Answers with a rejection, unless a part of an answer was sent.
+async fn reject(
+    shared: &ProcessContext,
+    request: &Request,
+    cause: RejectionCause,
+    reply: &mut CallerReply,
+    caller: &Conn,
+) -> RequestOutcome {
+    let elapsed_ms = request.arrived_at.until(shared.now()).as_millis();
     let remaining_ms = request
         .metadata
         .timeout_ms
@@ -207,8 +244,9 @@
         .saturating_sub(elapsed_ms);
     let retry_after_ms = cause.retry_after_ms(remaining_ms);
     // Closing the connection makes the caller send its next request to another process.
-    let close = request.close || cause == RejectionCause::NoWitness;
+    let close = request.close || cause.closes_connection();
     let id = request.metadata.id.as_deref();
+    let site = shared.state().site_index.clone();
     shared.metrics.record_rejected(cause.status());
     log::info!(
         "request: id={} event=end outcome=refused status={} reason=\"{}\" cause={cause:?} ms={elapsed_ms} left_ms={remaining_ms} after_ms={} prompt={} team={}",
@@ -266,9 +304,12 @@
     let timeout = Span::millis(route.timeout_ms).min(timeout);
     let deadline = request.arrived_at + timeout;
     if let Some(stopped_at) = shared.stopped_at() {
-        let elapsed = stopped_at.until(request.arrived_at);
-        let remaining = request.arrived_at.until(deadline);
-        if !admission::accepts_during_shutdown(elapsed, remaining, shared.grace_period()) {
+        let shutdown = Shutdown {
+            elapsed: stopped_at.until(request.arrived_at),
+            grace: shared.grace_period(),
+        };
+        let must_finish = route.retry_policy == RetryPolicy::AtMostOnce && !route.is_streaming;
+        if !shutdown.accepts(request.arrived_at.until(deadline), must_finish) {
             return Err(RejectionCause::Stopping);
         }
     }
--- a/crates/gateway/src/forwarding/rejection.rs
+++ b/crates/gateway/src/forwarding/rejection.rs
@@ -37,6 +37,8 @@
     Stopping,
     /// An engine may have executed the request but did not respond.
     Unknown,
+    /// The process ends before the request does.
+    Interrupted,
     /// The deadline passed before an engine responded.
     DeadlineExceeded {
         /// Whether the request was sent to an engine.
@@ -62,7 +64,7 @@
             | Self::NotRun
             | Self::Stopping
             | Self::DeadlineExceeded { sent: false } => 503,
-            Self::Unknown => 502,
+            Self::Unknown | Self::Interrupted => 502,
             Self::DeadlineExceeded { sent: true } => 504,
         }
     }
@@ -72,6 +74,11 @@
         matches!(self, Self::NoRoute | Self::InvalidKey)
     }
 
+    /// Returns whether the caller's next request should go to another process.
+    pub fn closes_connection(self) -> bool {
+        matches!(self, Self::NoWitness | Self::Interrupted)
+    }
+
     /// Returns the response body: the reason, for the caller's log.
     pub fn reason(self) -> &'static str {
         match self {
@@ -96,6 +103,7 @@
             Self::NotRun => "the endpoints had no room; the request did not run\n",
             Self::Stopping => "this process stops; the request did not run\n",
             Self::Unknown => "the endpoint failed; whether the request ran is unknown\n",
+            Self::Interrupted => "this process stops; whether the request ran is unknown\n",
             Self::DeadlineExceeded { sent: false } => "the time is over; the request did not run\n",
             Self::DeadlineExceeded { sent: true } => {
                 "the time is over; whether the request ran is unknown\n"
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -61,6 +61,12 @@
 /// Time for a planned stop that took all of its time to return and the process to exit.
 const RETURN_MARGIN: Duration = Duration::from_millis(70);
 
+/// Time for the answers to requests that are interrupted by the end of the process.
+const LAST_ANSWERS_TIME: Span = Span::millis(100);
+
+/// Interval at which a stopping process checks for requests in progress.
+const STOP_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Time for the worker to run a task when a stop has overrun.
 const WORKER_PROBE_TIME: Duration = Duration::from_millis(15);
 
@@ -244,8 +250,14 @@
         // Requests sent before callers saw the closed port are still served.
         shared.refuse_callers();
         Timer::after(LATE_ARRIVAL_WAIT).await;
-        while shared.now() < deadline && shared.active_requests.load(Ordering::Relaxed) > 0 {
-            Timer::after(Duration::from_millis(10)).await;
+        let is_busy = || shared.active_requests.load(Ordering::Relaxed) > 0;
+        while shared.now() < deadline && is_busy() {
+            Timer::after(STOP_POLL_INTERVAL).await;
+        }
+        shared.end_work();
+        let answered = shared.now() + LAST_ANSWERS_TIME;
+        while shared.now() < answered && is_busy() {
+            Timer::after(STOP_POLL_INTERVAL).await;
         }
         let end = begun + shared.stop_limit();
         // The replica stops even if no leader answers.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -175,10 +175,12 @@
     pub active_requests: AtomicUsize,
     /// Notified when a newer configuration is heard of or in force.
     pub config_news: Event,
-    /// Notified when callers are no longer accepted.
+    /// Notified when callers are no longer accepted, and when work ends.
     pub close_event: Event,
     /// Whether callers are no longer accepted.
     refuses_callers: AtomicBool,
+    /// Whether the time for requests in progress is over.
+    ends_work: AtomicBool,
     /// The node for messages to peers, set after it is bound.
     pub node: OnceLock<Node>,
     /// Time of the request to stop, in microseconds; zero before.
@@ -381,6 +383,7 @@
             config_news: Event::new(),
             close_event: Event::new(),
             refuses_callers: AtomicBool::new(false),
+            ends_work: AtomicBool::new(false),
             node: OnceLock::new(),
             stop_time: AtomicU64::new(0),
             outboxes: Mutex::default(),
@@ -429,6 +432,23 @@
         self.refuses_callers.load(Ordering::Relaxed)
     }
 
+    /// Ends the requests in progress: those without an answer get one that says so.
+    pub fn end_work(&self) {
+        self.ends_work.store(true, Ordering::Relaxed);
+        self.close_event.notify(usize::MAX);
+    }
+
+    /// Waits until the time for requests in progress is over.
+    pub async fn work_ended(&self) {
+        loop {
+            let listener = self.close_event.listen();
+            if self.ends_work.load(Ordering::Relaxed) {
+                return;
+            }
+            listener.await;
+        }
+    }
+
     /// Returns the time from the request to stop to the end of all work.
     #[must_use]
     pub fn grace_period(&self) -> Span {
--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -61,19 +61,35 @@
     pause_ms.min(remaining_ms / 3)
 }
 
-/// Time after the start of shutdown in which every request is accepted. The load
-/// balancer needs two health checks, one second apart, to stop sending requests, and
-/// new connections may be in flight.
+/// Time after the start of shutdown in which requests are accepted that may outlive the
+/// process. The load balancer needs two health checks, one second apart, to stop sending
+/// requests, and new connections may be in flight.
 const SHUTDOWN_ACCEPT_WINDOW: Span = Span::millis(2_800);
 
-/// Returns whether a process that began its shutdown `elapsed` ago accepts a request
-/// that may last `remaining`, where all work ends after `grace`.
-///
-/// When the processes of a failure domain are stopped in turn, few others are left and
-/// the load balancer sends callers to a stopping process. A request that may outlive the
-/// process is rejected as not executed, so that the caller uses another process
-/// immediately.
-#[must_use]
-pub fn accepts_during_shutdown(elapsed: Span, remaining: Span, grace: Span) -> bool {
-    elapsed <= SHUTDOWN_ACCEPT_WINDOW || elapsed.0 + remaining.0 <= grace.0
+/// Divisor of the grace period that yields the longest such time.
+const ACCEPT_WINDOW_DIVISOR: u64 = 2;
+
+/// A process that shuts down.
+#[derive(Clone, Copy, Debug)]
+pub struct Shutdown {
+    /// Time since its start.
+    pub elapsed: Span,
+    /// Time from its start to the end of all work.
+    pub grace: Span,
+}
+
+impl Shutdown {
+    /// Returns whether a request is accepted that may last `remaining`; `must_finish` states
+    /// that nobody knows what became of it if it's interrupted.
+    ///
+    /// When the processes of a failure domain are stopped in turn, few others are left and
+    /// the load balancer sends callers to a stopping process. A request that may outlive the
+    /// process is rejected as not executed, so that the caller uses another process
+    /// immediately.
+    #[must_use]
+    pub fn accepts(self, remaining: Span, must_finish: bool) -> bool {
+        let window = SHUTDOWN_ACCEPT_WINDOW.min(Span(self.grace.0 / ACCEPT_WINDOW_DIVISOR));
+        let in_window = self.elapsed <= window && !must_finish;
+        in_window || self.elapsed.0 + remaining.0 <= self.grace.0
+    }
 }
--- a/crates/routing/tests/placement.rs
+++ b/crates/routing/tests/placement.rs
@@ -3,6 +3,7 @@
 use base::Span;
 use base::Time;
 use routing::admission;
+use routing::admission::Shutdown;
 use routing::metadata::PromptSegment;
 use routing::placement::EngineCapacity;
 use routing::placement::EngineLoad;
@@ -267,18 +268,35 @@
     );
 }
 
+/// Returns whether a process with a grace period of `grace` ms accepts a request that may last
+/// `remaining` ms, `elapsed` ms after the start of its shutdown.
+fn accepts(grace: u64, elapsed: u64, remaining: u64, must_finish: bool) -> bool {
+    let shutdown = Shutdown {
+        elapsed: Span::millis(elapsed),
+        grace: Span::millis(grace),
+    };
+    shutdown.accepts(Span::millis(remaining), must_finish)
+}
+
 /// A stream that arrives four seconds after the start of shutdown would outlive the grace
-/// period and is rejected. A short request then, and every request right after the start
+/// period and is rejected. A short request then, and every stream right after the start
 /// of shutdown, is accepted.
 #[test]
 fn stopping_process_accepts_requests_it_can_complete() {
-    let grace = Span::millis(7_500);
-    let accepts = |elapsed, remaining| {
-        let (elapsed, remaining) = (Span::millis(elapsed), Span::millis(remaining));
-        admission::accepts_during_shutdown(elapsed, remaining, grace)
-    };
+    let accepts = |elapsed, remaining| accepts(7_500, elapsed, remaining, false);
     assert!(accepts(1_000, 15_000));
     assert!(!accepts(3_907, 15_000));
     assert!(accepts(3_907, 800));
     assert!(!accepts(7_000, 800));
 }
+
+/// Guards against calls that are cut without an answer, so that nobody knows whether they ran,
+/// and against a short grace period that ends before the load balancer has reacted.
+#[test]
+fn stopping_process_accepts_no_call_that_must_finish_and_may_outlive_it() {
+    assert!(accepts(7_500, 10, 1_500, true));
+    assert!(!accepts(7_500, 10, 8_000, true));
+    assert!(!accepts(7_500, 2_000, 6_000, true));
+    assert!(accepts(2_000, 900, 15_000, false));
+    assert!(!accepts(2_000, 1_100, 15_000, false));
+}
