gateway: an unframed answer without a byte isn't whole

What operators of like systems saw: an engine stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body, framed as whole (MIXED, ORDER).

Here: an answer that ends inside its head, in any framing, on a new or a kept connection, is 502, or is sent elsewhere if it may run again; shown for each length of six answers. But an engine that closed right after a head without a length gave a 200 with `Content-Length: 0`.

Change: without a length, an end before the first byte of a body shows nothing, as it did for streams already.

Evidence: heads.rs; its first test failed for the unframed answer, the others held before.

--- a/crates/gateway/src/forwarding/response.rs
+++ b/crates/gateway/src/forwarding/response.rs
@@ -251,7 +251,8 @@
             return None;
         }
         match conn.fill().await {
-            Ok(0) if decoder.is_complete_at_eof() => return Some(body),
+            // Without a length, an end before the first byte shows nothing.
+            Ok(0) if decoder.is_complete_at_eof() && !body.is_empty() => return Some(body),
             Ok(0) | Err(_) => return None,
             Ok(_) => {}
         }
