engine: bound what an endpoint's answer may take of memory and time

What operators of like systems saw: an engine sent bytes that were no answer, without end; the machine that had called it kept them all and ran out of memory. An engine that closed inside an answer gave clients an empty body as a whole one.

Cause, in the agents of our own interface: the client read heads and lines to their end before it looked at their length, and lines that are no event counted as progress, so that such a stream never ended. A body without a length came out as an empty success, and only the head of a service's answer had a timeout.

Change: the client reads answers with the parser of the gateway. Heads have 64 KiB, an event and what precedes it 1 MiB, bodies their bounds, interim answers a number; a body is whole only if its framing says so; a call's timeout covers its whole answer.

Evidence: engine/tests/faulty.rs and service/tests/faulty.rs.

--- a/crates/engine/src/chat.rs
+++ b/crates/engine/src/chat.rs
@@ -3,19 +3,18 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use futures_lite::AsyncBufReadExt as _;
 use futures_lite::FutureExt as _;
 use host::stall::StallDetector;
-use http_types::Body;
-use http_types::Method;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::client;
+use crate::client::Request;
+use crate::client::ResponseBody;
 use crate::error::EngineError;
 
-/// Maximum length of a line of an event stream, in bytes.
-const MAX_LINE_BYTES: usize = 1 << 20;
+/// Maximum length of an event, with what isn't an event before it, in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
 
 /// A chat request to an engine.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -87,8 +86,11 @@
 #[derive(Debug)]
 pub struct ChatStream {
     id: String,
-    body: Body,
-    line: Vec<u8>,
+    body: ResponseBody,
+    /// Decoded bytes that belong to no line yet.
+    decoded: Vec<u8>,
+    /// Bytes since the last event.
+    idle_bytes: usize,
     stall_detector: StallDetector,
 }
 
@@ -104,18 +106,21 @@
         timeout: Duration,
     ) -> Result<Self, EngineError> {
         let body = serde_json::to_vec(chat)?;
-        let path = "/v1/chat/completions";
-        let media_type = "application/json";
-        let mut response =
-            client::send(address, Method::Post, path, media_type, body, timeout).await?;
-        let status: u16 = response.status().into();
-        if status != 200 {
-            return Err(EngineError::Status(status));
+        let request = Request {
+            method: "POST",
+            path: "/v1/chat/completions",
+            media_type: "application/json",
+            body: &body,
+        };
+        let response = client::send(address, &request, timeout).await?;
+        if response.status() != 200 {
+            return Err(EngineError::Status(response.status()));
         }
         Ok(Self {
             id: chat.id.clone(),
-            body: response.take_body(),
-            line: Vec::new(),
+            body: response.into_body(),
+            decoded: Vec::new(),
+            idle_bytes: 0,
             stall_detector: StallDetector::new(timeout),
         })
     }
@@ -131,6 +136,8 @@
             let Some(data) = line.strip_prefix("data:") else {
                 continue;
             };
+            self.stall_detector.record_progress();
+            self.idle_bytes = 0;
             let data = data.trim();
             if data == "[DONE]" {
                 return Err(EngineError::Truncated);
@@ -160,24 +167,24 @@
         }
     }
 
+    /// Returns the next line, without its end.
     async fn read_line(&mut self) -> Result<String, EngineError> {
-        self.line.clear();
-        let read = async {
-            let count = self.body.read_until(b'\n', &mut self.line).await;
-            count.map_err(|e| EngineError::BrokenStream(e.to_string()))
-        };
-        let stalled = async {
-            self.stall_detector.stalled().await;
-            Err(EngineError::Stalled)
-        };
-        let count = read.or(stalled).await?;
-        self.stall_detector.record_progress();
-        if count == 0 {
-            return Err(EngineError::Truncated);
-        }
-        if self.line.len() > MAX_LINE_BYTES {
-            return Err(EngineError::BrokenStream("a line is too long".to_owned()));
+        loop {
+            if let Some(end) = self.decoded.iter().position(|&byte| byte == b'\n') {
+                let line: Vec<u8> = self.decoded.drain(..=end).collect();
+                self.idle_bytes += line.len();
+                return Ok(String::from_utf8_lossy(&line).trim_end().to_owned());
+            }
+            if self.idle_bytes + self.decoded.len() > MAX_EVENT_BYTES {
+                return Err(EngineError::TooLong);
+            }
+            let stalled = async {
+                self.stall_detector.stalled().await;
+                Err(EngineError::Stalled)
+            };
+            if !self.body.read(&mut self.decoded).or(stalled).await? {
+                return Err(EngineError::Truncated);
+            }
         }
-        Ok(String::from_utf8_lossy(&self.line).trim_end().to_owned())
     }
 }
--- a/crates/engine/src/control.rs
+++ b/crates/engine/src/control.rs
@@ -3,19 +3,20 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use futures_lite::AsyncReadExt as _;
-use http_types::Method;
+use async_io::Timer;
+use futures_lite::FutureExt as _;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::client;
+use crate::client::Request;
 use crate::error::EngineError;
 
 /// Timeout of a control request to an engine.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Maximum length of a response to a control request, in bytes.
-const MAX_RESPONSE_BYTES: u64 = 1 << 20;
+const MAX_RESPONSE_BYTES: usize = 1 << 20;
 
 /// Load of an endpoint, as the endpoint reports it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -53,24 +54,35 @@
 ///
 /// Fails if the endpoint cannot be reached or its response cannot be read.
 pub async fn fetch_load(address: SocketAddr) -> Result<LoadReport, EngineError> {
-    let sent = client::send(
-        address,
-        Method::Get,
-        "/load",
-        "application/json",
-        Vec::new(),
-        CONTROL_TIMEOUT,
-    );
-    let mut response = sent.await?;
-    let status: u16 = response.status().into();
-    if status != 200 {
-        return Err(EngineError::Status(status));
-    }
-    let mut bytes = Vec::new();
-    let mut body = response.take_body().take(MAX_RESPONSE_BYTES);
-    let read = body.read_to_end(&mut bytes).await;
-    read.map_err(|e| EngineError::BrokenStream(e.to_string()))?;
-    Ok(serde_json::from_slice(&bytes)?)
+    let body = send(address, "GET", "/load", &[]).await?;
+    Ok(serde_json::from_slice(&body)?)
+}
+
+/// Sends a control request and returns the body of its response, within the timeout.
+async fn send(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &[u8],
+) -> Result<Vec<u8>, EngineError> {
+    let exchange = async {
+        let request = Request {
+            method,
+            path,
+            media_type: "application/json",
+            body,
+        };
+        let response = client::send(address, &request, CONTROL_TIMEOUT).await?;
+        if response.status() >= 300 {
+            return Err(EngineError::Status(response.status()));
+        }
+        response.into_body().read_all(MAX_RESPONSE_BYTES).await
+    };
+    let timed_out = async {
+        Timer::after(CONTROL_TIMEOUT).await;
+        Err(EngineError::Stalled)
+    };
+    timed_out.or(exchange).await
 }
 
 /// Cancels a request.
@@ -79,20 +91,7 @@
 ///
 /// Fails if the engine cannot be reached or returns an error status.
 pub async fn cancel(address: SocketAddr, id: &str) -> Result<(), EngineError> {
-    let path = format!("/v1/requests/{id}");
-    let media_type = "application/json";
-    let sent = client::send(
-        address,
-        Method::Delete,
-        &path,
-        media_type,
-        Vec::new(),
-        CONTROL_TIMEOUT,
-    );
-    let status: u16 = sent.await?.status().into();
-    if status >= 300 {
-        return Err(EngineError::Status(status));
-    }
+    send(address, "DELETE", &format!("/v1/requests/{id}"), &[]).await?;
     Ok(())
 }
 
@@ -106,18 +105,6 @@
     request: &LoadModelRequest,
 ) -> Result<(), EngineError> {
     let body = serde_json::to_vec(request)?;
-    let media_type = "application/json";
-    let sent = client::send(
-        address,
-        Method::Post,
-        "/orders",
-        media_type,
-        body,
-        CONTROL_TIMEOUT,
-    );
-    let status: u16 = sent.await?.status().into();
-    if status >= 300 {
-        return Err(EngineError::Status(status));
-    }
+    send(address, "POST", "/orders", &body).await?;
     Ok(())
 }
--- a/crates/engine/src/error.rs
+++ b/crates/engine/src/error.rs
@@ -25,6 +25,9 @@
     /// No event arrived within the timeout.
     #[error("no event came in time")]
     Stalled,
+    /// The endpoint sent more than is accepted.
+    #[error("the response is too long")]
+    TooLong,
     /// The stream or the body ended early.
     #[error("the stream ended early")]
     Truncated,
--- a/crates/service/src/lib.rs
+++ b/crates/service/src/lib.rs
@@ -3,14 +3,18 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use async_io::Timer;
 use engine::EngineError;
 use engine::client;
-use futures_lite::AsyncReadExt as _;
-use http_types::Method;
+use engine::client::Request;
+use futures_lite::FutureExt as _;
 
 /// Maximum length of a plain service's response body, in bytes.
 pub const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
+/// Media type of a response that states none.
+const DEFAULT_MEDIA_TYPE: &str = "application/octet-stream";
+
 /// A request to a plain service.
 #[derive(Clone, Debug)]
 pub struct ServiceRequest<'a> {
@@ -35,7 +39,7 @@
     pub body: Vec<u8>,
 }
 
-/// Sends a request once, without retries.
+/// Sends a request once, without retries; the whole response must arrive within `timeout`.
 ///
 /// # Errors
 ///
@@ -46,29 +50,32 @@
     request: &ServiceRequest<'_>,
     timeout: Duration,
 ) -> Result<ServiceResponse, EngineError> {
-    let method: Method = request.method.parse().unwrap_or(Method::Post);
-    let body = request.body.to_vec();
-    let response_future = client::send(
-        address,
-        method,
-        request.path,
-        request.media_type,
-        body,
-        timeout,
-    );
-    let mut response = response_future.await?;
-    let media = response.content_type().map(|mime| mime.to_string());
-    let length = response.len();
-    let mut bytes = Vec::new();
-    let mut limited = response.take_body().take(MAX_RESPONSE_BYTES as u64 + 1);
-    let read = limited.read_to_end(&mut bytes).await;
-    read.map_err(|e| EngineError::BrokenStream(e.to_string()))?;
-    if bytes.len() > MAX_RESPONSE_BYTES || length.is_some_and(|length| length != bytes.len()) {
-        return Err(EngineError::Truncated);
-    }
+    let timed_out = async {
+        Timer::after(timeout).await;
+        Err(EngineError::Stalled)
+    };
+    timed_out.or(exchange(address, request, timeout)).await
+}
+
+async fn exchange(
+    address: SocketAddr,
+    request: &ServiceRequest<'_>,
+    timeout: Duration,
+) -> Result<ServiceResponse, EngineError> {
+    let request = Request {
+        method: request.method,
+        path: request.path,
+        media_type: request.media_type,
+        body: request.body,
+    };
+    let response = client::send(address, &request, timeout).await?;
+    let status = response.status();
+    let media_type = response.media_type().unwrap_or(DEFAULT_MEDIA_TYPE);
+    let media_type = media_type.to_owned();
+    let body = response.into_body().read_all(MAX_RESPONSE_BYTES).await?;
     Ok(ServiceResponse {
-        status: response.status().into(),
-        media_type: media.unwrap_or_else(|| "application/octet-stream".to_owned()),
-        body: bytes,
+        status,
+        media_type,
+        body,
     })
 }
