gateway: answers that are buffered share a bound

Cause (the operators' report of bytes without end): each answer has a bound of 512 KiB, each event one of 256 KiB, but nothing bounded all of them together. An engine with 128 slots that sends without end could hold 64 MB and more at a process that has 110 MB.

One that may not grow fails like a longer one.

--- a/crates/gateway/src/forwarding/response.rs
+++ b/crates/gateway/src/forwarding/response.rs
@@ -18,6 +18,7 @@
 use super::answer::AnswerError;
 use super::guards::DispatchGuard;
 use crate::conn::Conn;
+use crate::response_buffers::BufferShare;
 
 /// Maximum length of one event, and of what isn't an event between two of them, in bytes.
 const MAX_EVENT_BYTES: usize = 256 << 10;
@@ -64,7 +65,9 @@
                 .await;
         }
         guard.record_first_event(sent_at.until(self.shared.now()));
-        let Some(body) = read_whole_body(conn, &head).await else {
+        // Held until the caller has received the answer.
+        let mut share = self.shared.response_buffers.share();
+        let Some(body) = read_whole_body(conn, &head, &mut share).await else {
             return AttemptOutcome::Failed;
         };
         if body.len() > MAX_BUFFERED_BYTES {
@@ -130,6 +133,7 @@
         let mut empty_bytes = 0;
         // Events of this engine; those of earlier ones show nothing about its answer.
         let mut own_events = 0;
+        let mut share = self.shared.response_buffers.share();
         loop {
             match decoder.decode(&conn.buf, &mut events) {
                 Ok(consumed) => conn.consume(consumed),
@@ -185,7 +189,8 @@
                     Err(_) => AttemptOutcome::Aborted,
                 };
             }
-            if events.len().max(empty_bytes) > MAX_EVENT_BYTES {
+            let is_too_long = events.len().max(empty_bytes) > MAX_EVENT_BYTES;
+            if is_too_long || !share.resize(events.len()) {
                 return self.stream_failure();
             }
             if !out.is_empty() {
@@ -238,7 +243,11 @@
 }
 
 /// Reads a complete body; returns `None` if it's truncated or too long.
-async fn read_whole_body(conn: &mut Conn, head: &ResponseHead) -> Option<Vec<u8>> {
+async fn read_whole_body(
+    conn: &mut Conn,
+    head: &ResponseHead,
+    share: &mut BufferShare<'_>,
+) -> Option<Vec<u8>> {
     let mut decoder = BodyDecoder::new(head.framing);
     let mut body = Vec::new();
     loop {
@@ -247,7 +256,7 @@
         if decoder.is_complete() {
             return Some(body);
         }
-        if body.len() > MAX_BUFFERED_BYTES {
+        if body.len() > MAX_BUFFERED_BYTES || !share.resize(body.len()) {
             return None;
         }
         match conn.fill().await {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 //! - [`replica_messages`]: messages of the replicated log to other replicas.
 //! - [`replica_reports`]: tells the leader which replicas run and which are about to stop.
 //! - [`replicated_state`]: the state machine of the replicated log.
+//! - [`response_buffers`]: the memory that answers of engines take.
 //! - [`settlement`]: closes leases that have ended.
 //! - [`state`]: the shared state of a process.
 //! - [`ticker`]: when the replica's thread ticks.
@@ -48,6 +49,7 @@
 pub mod replica_messages;
 pub mod replica_reports;
 pub mod replicated_state;
+pub mod response_buffers;
 pub mod settlement;
 pub mod state;
 pub mod ticker;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -50,6 +50,7 @@
 use crate::metrics::GatewayMetrics;
 use crate::outbox::Lane;
 use crate::outbox::Outbox;
+use crate::response_buffers::ResponseBuffers;
 
 /// Number of missed announcements after which an engine counts as silent; announcements can
 /// arrive seconds late.
@@ -173,6 +174,8 @@
     pub grants_needed: Event,
     /// Number of requests in progress.
     pub active_requests: AtomicUsize,
+    /// The memory for answers of engines.
+    pub response_buffers: ResponseBuffers,
     /// Notified when a newer configuration is heard of or in force.
     pub config_news: Event,
     /// Notified when callers are no longer accepted, and when work ends.
@@ -367,6 +370,7 @@
         clock: Clock,
     ) -> Self {
         let state = Mutex::new(ProcessState::new(&settings, &own));
+        let memory_bytes = settings.limits.memory_mb << 20;
         Self {
             settings,
             clock,
@@ -380,6 +384,7 @@
             crash_news: Event::new(),
             grants_needed: Event::new(),
             active_requests: AtomicUsize::new(0),
+            response_buffers: ResponseBuffers::new(memory_bytes),
             config_news: Event::new(),
             close_event: Event::new(),
             refuses_callers: AtomicBool::new(false),
