keeper: compact the log by its size, too

Cause: the keepers of our own interface compacted their log after 20,000 entries, whatever their size, with documents of up to 32 MiB: memory and disk grew by what the changes take until then.

Change: 8 MiB of entries compact the log as well.

--- a/crates/daemon/src/keeper/core.rs
+++ b/crates/daemon/src/keeper/core.rs
@@ -57,9 +57,13 @@
 /// Time between two checks of the leases, agents and balances.
 const SWEEP_INTERVAL: Span = Span::millis(1_000);
 
-/// Number of log entries in memory at which the log is compacted.
+/// Number of log entries in memory at which the log is compacted, whatever their size.
 const MAX_LOG_ENTRIES: usize = 20_000;
 
+/// Size of the log entries in memory at which the log is compacted, in bytes. A document may
+/// be larger.
+pub const MAX_LOG_BYTES: u64 = 8 << 20;
+
 /// Time for which an entry that sends nothing is still listed in the status.
 const ENTRY_STATUS_TIMEOUT: Span = Span::secs(30);
 
@@ -448,7 +452,8 @@
     }
 
     fn compact_log(&mut self) {
-        if self.replica.log().len() < MAX_LOG_ENTRIES {
+        let log = self.replica.log();
+        if log.len() < MAX_LOG_ENTRIES && log.size_bytes() < MAX_LOG_BYTES {
             return;
         }
         match postcard::to_stdvec(&self.state) {
--- a/crates/mulberryctl/tests/documents.rs
+++ b/crates/mulberryctl/tests/documents.rs
@@ -9,6 +9,7 @@
 use config::SubmitResult;
 use config::canonical;
 use consensus::Payload;
+use daemon::keeper::core::MAX_LOG_BYTES;
 use daemon::keeper::state::ReplicatedState;
 use daemon::keeper::storage::Storage;
 use fleet::wire::SubmitOutcome;
@@ -23,6 +24,9 @@
 /// Number of documents accepted before the resends.
 const DOCUMENT_COUNT: u64 = 1_000;
 
+/// Number of teams in a large document.
+const LARGE_TEAMS: u32 = 20_000;
+
 /// Maximum polls of a wait, far more than it needs.
 const MAX_POLLS: u32 = 600;
 
@@ -125,3 +129,57 @@
         }
     });
 }
+
+/// Returns a document like [`changed_document`] with so many teams, all of them changed, that it
+/// has some megabytes.
+fn large_document(number: u64) -> Document {
+    let mut next = changed_document(number, 2);
+    let mut team = next.teams.values().next().unwrap().clone();
+    team.keys.clear();
+    team.weight = u32::try_from(number).unwrap();
+    for n in 0..LARGE_TEAMS {
+        let name = format!("team-of-a-large-document-{n:06}");
+        next.teams.insert(name, team.clone());
+    }
+    next
+}
+
+/// Guards against a keeper that runs out of memory or disk: the log was only compacted after
+/// 20,000 entries, whatever their size.
+#[test]
+fn large_documents_are_compacted_by_their_size() {
+    let pool = Pool::start(4);
+    block_on(async {
+        let layout = Layout {
+            engines: 1,
+            services: 0,
+            teams: 2,
+            team_budget: 1_000,
+            ..Layout::default()
+        };
+        let site = LocalSite::start(&pool, &folder("large"), &layout)
+            .await
+            .unwrap();
+        let mut bytes = 0;
+        let mut number = 1;
+        // The log holds what has changed, less than a document.
+        while bytes < 5 * MAX_LOG_BYTES {
+            number += 1;
+            let document = large_document(number);
+            bytes += canonical::to_canonical_json(&document).len() as u64;
+            let outcome = submit(&site, &document).await;
+            assert!(matches!(outcome, SubmitOutcome::Accepted(_)), "{outcome:?}");
+        }
+        for n in 0..3 {
+            site.keepers[n].stop().await;
+            let settings = site.settings_of(&format!("keeper-{n}")).unwrap();
+            let role = settings.keeper.as_ref().unwrap();
+            let opened = Storage::open(&role.data_folder, role.id, &[], JournalOptions::default());
+            let (_, recovered) = opened.unwrap();
+            let size = recovered.log.size_bytes();
+            assert!(size < MAX_LOG_BYTES, "keeper {n}: {size} of {bytes}");
+            let current = recover_register(&site, n).current().number;
+            assert!(current >= number - 1, "keeper {n}: {current} of {number}");
+        }
+    });
+}
