--- a/crates/mulberryctl/tests/documents.rs
+++ b/crates/mulberryctl/tests/documents.rs
@@ -176,8 +176,8 @@
             let role = settings.keeper.as_ref().unwrap();
             let opened = Storage::open(&role.data_folder, role.id, &[], JournalOptions::default());
             let (_, recovered) = opened.unwrap();
-            let size = recovered.log.size_bytes();
-            assert!(size < MAX_LOG_BYTES, "keeper {n}: {size} of {bytes}");
+            let kept = recovered.log.size_bytes();
+            assert!(kept < MAX_LOG_BYTES, "keeper {n}: {kept} of {bytes}");
             let current = recover_register(&site, n).current().number;
             assert!(current >= number - 1, "keeper {n}: {current} of {number}");
         }
