consensus: test that the time without a leader counts towards its absence

With the former rule, where a new leader counts from its election, the test fails: the lost leader is removed after 59 ticks in place of 40 and a few.

--- a/crates/consensus/tests/rules.rs
+++ b/crates/consensus/tests/rules.rs
@@ -10,6 +10,7 @@
 use consensus::Message;
 use consensus::Payload;
 use consensus::Position;
+use consensus::ReplacementPolicy;
 use consensus::Replica;
 use consensus::Snapshot;
 use consensus::log::Log;
@@ -184,3 +185,64 @@
         "one vote per term"
     );
 }
+
+/// Guards against a leader that is lost and replaced later than its successor needs to catch
+/// up: the time without a leader didn't count towards its absence.
+#[test]
+fn the_time_without_a_leader_counts_towards_its_absence() {
+    let absence_ticks = 4 * MIN_ELECTION_TICKS;
+    let policy = ReplacementPolicy {
+        min_voters: 3,
+        max_voters: 3,
+        absence_ticks,
+    };
+    let mut members = members();
+    members.learners.insert(KeeperId(3), 4);
+    let snapshot = Snapshot {
+        members,
+        ..Snapshot::default()
+    };
+    let log = Log::new(snapshot, vec![entry(1, 1, Payload::Noop)]);
+    let hard_state = HardState {
+        term: 1,
+        vote: None,
+    };
+    let mut replica = Replica::new(KeeperId(0), 1, hard_state, log, 1).with_policy(policy);
+    let heartbeat = |round| Message::Heartbeat {
+        commit_index: 1,
+        round,
+    };
+    replica.receive(envelope(2, 1, heartbeat(1)));
+    let mut ticks = 0;
+    let answer = |replica: &mut Replica, from, message| {
+        replica.receive(envelope(from, replica.term(), message))
+    };
+    while replica.term() == 1 {
+        ticks += 1;
+        replica.tick(0);
+        let vote = |pre_vote| Message::VoteResponse {
+            pre_vote,
+            granted: true,
+        };
+        replica.receive(envelope(1, 2, vote(true)));
+    }
+    let granted = Message::VoteResponse {
+        pre_vote: false,
+        granted: true,
+    };
+    replica.receive(envelope(1, 2, granted));
+    assert_eq!(replica.leader(), Some(KeeperId(0)));
+    while replica.members().is_voter(KeeperId(2)) {
+        ticks += 1;
+        replica.tick(0);
+        let stored = Message::AppendResponse {
+            match_index: Some(replica.log().last_position().index),
+            next_hint: 0,
+            round: 0,
+        };
+        answer(&mut replica, 1, stored.clone());
+        answer(&mut replica, 3, stored);
+    }
+    // A change waits for the next heartbeat.
+    assert!(ticks <= absence_ticks + 4, "{ticks} of {absence_ticks}");
+}
