review: the daemons of a case end with it

A case that was ended from outside left its daemons running. They now get SIGKILL with their parent.

--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddrV4;
 use std::net::TcpListener;
 use std::net::UdpSocket;
+use std::os::unix::process::CommandExt as _;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
@@ -37,8 +38,12 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: u64) -> i32;
 }
 
+/// Asks for a signal when the parent ends (`PR_SET_PDEATHSIG`).
+const PARENT_DEATH_SIGNAL: i32 = 1;
+
 /// Sends a signal to a process that this program started.
 fn send_signal(pid: u32, signal: Signal) {
     if let Ok(pid) = i32::try_from(pid) {
@@ -250,6 +255,13 @@
                 command.env(name, value);
             }
         }
+        // SAFETY: `prctl` takes two integers and is safe to call between fork and exec.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PARENT_DEATH_SIGNAL, Signal::Kill as u64);
+                Ok(())
+            });
+        }
         let child = command.spawn().map_err(|error| error.to_string())?;
         STARTED.lock().expect("no panic").push(child.id());
         *daemon.child.lock().expect("no panic") = Some(child);
