--- a/review/standins-2/src/draining.rs
+++ b/review/standins-2/src/draining.rs
@@ -186,7 +186,9 @@
     let leaver = stage.engines[2].clone();
     let start = record.now() + seconds(5.0);
     until(record, start);
-    // On its way, it's held up.
+    // The next regular one; it's held up on its way.
+    leaver.wait_for_last_beat();
+    let start = record.now();
     let late_beat = leaver.next_beat();
     record.line("engine: a heartbeat is sent, and held up on its way");
     until(record, start + seconds(0.3));
@@ -220,14 +222,21 @@
     let leaver = stage.engines[2].clone();
     let start = record.now() + seconds(5.0);
     until(record, start);
+    leaver.wait_for_last_beat();
     let body = leaver.next_beat();
     leaver.send_beat(stage.site.control(home), &body);
     let frozen = record.now();
     if trouble {
+        thread::sleep(Duration::from_millis(50));
         stage.open[home].store(false, Ordering::SeqCst);
         stage.site.signal(home, Signal::Stop);
     }
-    leaver.begin_leave();
+    // The next heartbeat: to another daemon if this one doesn't acknowledge it within a second.
+    until(record, frozen + seconds(1.2));
+    let body = leaver.next_beat();
+    if !leaver.send_beat(stage.site.control(home), &body) {
+        leaver.send_beat(stage.site.control(other), &body);
+    }
     until(record, frozen + seconds(2.5));
     let acknowledged = leaver.deregister(stage.site.control(other));
     let acknowledged = acknowledged.ok_or("the deregistration isn't acknowledged")?;
--- a/review/standins-2/src/engine.rs
+++ b/review/standins-2/src/engine.rs
@@ -21,6 +21,9 @@
 use crate::record::Record;
 use crate::site::unix_ms;
 
+/// Time between two heartbeats, `heartbeat_ms` of the deployment.
+const BEAT_INTERVAL: Duration = Duration::from_millis(1_200);
+
 /// A request that an engine ran.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -39,6 +42,9 @@
     pub slots: u32,
     sequence: AtomicU64,
     leaving: AtomicBool,
+    /// Whether the regular heartbeats have ended, and when the last one was sent.
+    quiet: AtomicBool,
+    last_beat: Mutex<Duration>,
     gone: AtomicBool,
     /// Whether answers to requests with a prompt are lost.
     pub loses: AtomicBool,
@@ -77,6 +83,8 @@
             slots,
             sequence: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
+            quiet: AtomicBool::new(false),
+            last_beat: Mutex::default(),
             gone: AtomicBool::new(false),
             loses: AtomicBool::new(false),
             runs: Mutex::default(),
@@ -239,7 +247,8 @@
         let engine = self.clone();
         thread::spawn(move || {
             let mut next = first;
-            while !engine.0.leaving.load(Ordering::SeqCst) && !engine.is_gone() {
+            while !engine.0.quiet.load(Ordering::SeqCst) && !engine.is_gone() {
+                *engine.0.last_beat.lock().expect("no panic") = engine.0.record.now();
                 let body = engine.next_beat();
                 for _ in 0..controls.len() {
                     let control = controls[next % controls.len()];
@@ -251,13 +260,21 @@
                         break;
                     }
                 }
-                thread::sleep(Duration::from_millis(1_200));
+                thread::sleep(BEAT_INTERVAL);
             }
         });
     }
 
-    /// Ends the heartbeats: the engine is about to leave.
-    pub fn begin_leave(&self) {
+    /// Ends the regular heartbeats, and waits until the next one is due.
+    pub fn wait_for_last_beat(&self) {
+        self.0.quiet.store(true, Ordering::SeqCst);
+        let last = *self.0.last_beat.lock().expect("no panic");
+        let due = last + BEAT_INTERVAL;
+        thread::sleep(due.saturating_sub(self.0.record.now()));
+    }
+
+    fn begin_leave(&self) {
+        self.0.quiet.store(true, Ordering::SeqCst);
         self.0.leaving.store(true, Ordering::SeqCst);
     }
 
