gateway: requests to peers in a module of their own

Cause: budget, config_sync, crash_news, settlement, witness and replica_messages imported the mesh only to send a request to a peer, and the state imported the control interface for one constant. That made a circle of twelve modules.

Change: peer_requests holds the calls, intake the bound of a configuration. No behaviour changes.

Measured: the largest strongly connected set of the gateway's modules has seven files, twelve before; budget, config_sync, control, crash_news, mesh and witness are out of it, peer_requests is in.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -15,8 +15,8 @@
 
 use crate::leader_requests::LEADER_TIMEOUT;
 use crate::leader_requests::request_leader;
-use crate::mesh::reachable_peers;
-use crate::mesh::request_peer;
+use crate::peer_requests::reachable_peers;
+use crate::peer_requests::request_peer;
 use crate::state::ProcessContext;
 use crate::witness;
 
--- a/crates/gateway/src/config_sync.rs
+++ b/crates/gateway/src/config_sync.rs
@@ -19,7 +19,7 @@
 use crate::leader_requests::LEADER_RETRY_DELAY;
 use crate::leader_requests::LEADER_TIMEOUT;
 use crate::leader_requests::request_leader;
-use crate::mesh::request_peer;
+use crate::peer_requests::request_peer;
 use crate::state::ProcessContext;
 
 /// Maximum wait for one part; another peer is asked then.
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -28,6 +28,7 @@
 use crate::evacuations;
 use crate::evacuations::OrderError;
 use crate::intake;
+use crate::intake::MAX_CONFIG_BYTES;
 use crate::intake::Place;
 use crate::leader_requests;
 use crate::state::ProcessContext;
@@ -35,9 +36,6 @@
 /// Maximum length of a request head, in bytes.
 const MAX_HEAD_BYTES: usize = 16 << 10;
 
-/// Maximum length of a configuration, in bytes: thousands of routes.
-pub const MAX_CONFIG_BYTES: usize = 16 << 20;
-
 /// Maximum length of any other request body, in bytes. Those that are too long to be decoded
 /// are still answered, within this bound.
 const MAX_BODY_BYTES: usize = 256 << 10;
--- a/crates/gateway/src/crash_news.rs
+++ b/crates/gateway/src/crash_news.rs
@@ -13,8 +13,8 @@
 use futures_lite::FutureExt as _;
 use routing::crash_suspects::CrashNews;
 
-use crate::mesh::reachable_peers;
-use crate::mesh::request_peer;
+use crate::peer_requests::reachable_peers;
+use crate::peer_requests::request_peer;
 use crate::state::ProcessContext;
 
 /// Time between two messages to a peer while there is news. It bounds how long a process
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -35,6 +35,9 @@
 /// Divisor of a body's memory that yields the step between those.
 const GROWTH_DIVISOR: usize = 4;
 
+/// Maximum length of a configuration, in bytes: thousands of routes.
+pub const MAX_CONFIG_BYTES: usize = 16 << 20;
+
 /// The connections of a listener and what they hold.
 pub struct Intake {
     name: &'static str,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 //! - [`mesh`]: state updates between processes.
 //! - [`metrics`]: request counters and latency histograms.
 //! - [`outbox`]: the queue of consensus messages to one replica.
+//! - [`peer_requests`]: requests to peers.
 //! - [`process`]: startup, settings reload and shutdown of a process.
 //! - [`replica_messages`]: messages of the replicated log to other replicas.
 //! - [`replica_reports`]: tells the leader which replicas run and which are about to stop.
@@ -53,6 +54,7 @@
 pub mod mesh;
 pub mod metrics;
 pub mod outbox;
+pub mod peer_requests;
 pub mod process;
 pub mod replica_messages;
 pub mod replica_reports;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -1,4 +1,4 @@
-//! State updates between processes, and requests to peers.
+//! State updates between processes, and the requests that peers send.
 //!
 //! `fleet::peers` decides who is sent what, and when; this module carries it out.
 
@@ -10,7 +10,6 @@
 use base::Map;
 use base::Span;
 use base::Time;
-use fleet::FleetError;
 use fleet::mesh::MeshRequest;
 use fleet::mesh::MeshResponse;
 use fleet::mesh::Profile;
@@ -28,6 +27,7 @@
 use crate::group::Input;
 use crate::leader_requests::request_leader_directly;
 use crate::leader_requests::request_local_leader;
+use crate::peer_requests::request_peer;
 use crate::state::ProcessContext;
 use crate::state::ProcessState;
 use crate::witness;
@@ -140,64 +140,6 @@
     }
 }
 
-/// Returns the peers that can be reached directly, without the leader.
-pub fn reachable_peers(shared: &ProcessContext) -> Vec<SocketAddr> {
-    let now = shared.now();
-    let state = shared.state();
-    let reachable = state.peers.values().filter(|peer| peer.is_reachable(now));
-    let reachable = reachable.map(|peer| peer.member.address);
-    reachable
-        .filter(|&address| Some(address) != state.leader)
-        .collect()
-}
-
-/// Sends a request to one peer; returns `None` if it doesn't respond.
-pub async fn request_peer(
-    shared: &ProcessContext,
-    address: SocketAddr,
-    request: MeshRequest,
-    timeout: Span,
-) -> Option<MeshResponse> {
-    let request = fleet::PeerRequest::Mesh(request);
-    let answer = shared.node.get()?.request(address, request, timeout).await;
-    mesh_response(shared, address, answer)
-}
-
-/// Sends a long request like [`request_peer`], but behind all other data for the peer.
-pub async fn request_peer_bulk(
-    shared: &ProcessContext,
-    address: SocketAddr,
-    request: MeshRequest,
-    timeout: Span,
-) -> Option<MeshResponse> {
-    let request = fleet::PeerRequest::Mesh(request);
-    let node = shared.node.get()?;
-    let answer = node.request_bulk(address, request, timeout).await;
-    mesh_response(shared, address, answer)
-}
-
-fn mesh_response(
-    shared: &ProcessContext,
-    address: SocketAddr,
-    answer: Result<fleet::PeerResponse, FleetError>,
-) -> Option<MeshResponse> {
-    let now = shared.now();
-    match answer {
-        Ok(answer) => {
-            shared.state().peers.record_answered(address, now);
-            match answer {
-                fleet::PeerResponse::Mesh(answer) => Some(answer),
-                _ => None,
-            }
-        }
-        Err(error) => {
-            shared.state().peers.record_unanswered(address, now);
-            log::debug!("mesh: event=ask peer={address} outcome=failed reason=\"{error}\"");
-            None
-        }
-    }
-}
-
 /// Carries out the effects of meeting processes and of the end of runs.
 fn apply_members(shared: &ProcessContext, state: &mut ProcessState, applied: &Applied) {
     for old in &applied.replaced {
--- a/crates/gateway/src/replica_messages.rs
+++ b/crates/gateway/src/replica_messages.rs
@@ -9,9 +9,9 @@
 use consensus::Envelope;
 use fleet::mesh::MeshRequest;
 
-use crate::mesh::request_peer;
-use crate::mesh::request_peer_bulk;
 use crate::outbox::Lane;
+use crate::peer_requests::request_peer;
+use crate::peer_requests::request_peer_bulk;
 use crate::state::ProcessContext;
 
 /// Time after which a peer must be receiving a batch of entries, or the batch is given up.
--- a/crates/gateway/src/settlement.rs
+++ b/crates/gateway/src/settlement.rs
@@ -15,7 +15,7 @@
 use crate::group::Group;
 use crate::group::Input;
 use crate::group::SettlingLease;
-use crate::mesh::request_peer;
+use crate::peer_requests::request_peer;
 use crate::state::ProcessContext;
 use crate::witness;
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -51,10 +51,10 @@
 use thiserror::Error;
 
 use crate::connection_pool::ConnectionPool;
-use crate::control;
 use crate::evacuations::Evacuations;
 use crate::group::Group;
 use crate::intake::Intake;
+use crate::intake::MAX_CONFIG_BYTES;
 use crate::load_monitor::LoadMonitor;
 use crate::metrics::GatewayMetrics;
 use crate::outbox::Lane;
@@ -385,7 +385,7 @@
         let metrics = Metrics::default();
         let intake = |name, limits| Arc::new(Intake::new(name, limits, clock, &metrics));
         let callers = IntakeLimits::for_callers(memory_bytes, descriptors);
-        let longest = control::MAX_CONFIG_BYTES as u64;
+        let longest = MAX_CONFIG_BYTES as u64;
         let control = IntakeLimits::for_control(memory_bytes, descriptors, longest);
         Self {
             caller_intake: intake("front", callers),
--- a/crates/gateway/src/witness.rs
+++ b/crates/gateway/src/witness.rs
@@ -25,8 +25,8 @@
 
 use crate::group::Input;
 use crate::group::Reply;
-use crate::mesh::reachable_peers;
-use crate::mesh::request_peer;
+use crate::peer_requests::reachable_peers;
+use crate::peer_requests::request_peer;
 use crate::state::ProcessContext;
 use crate::state::ProcessState;
 
