fleet: who holds the state of an engine, and tests of departures

Cause: nothing showed how many processes hold the news that an engine leaves when it is acknowledged, and what peers tell of engines was spread over mesh, control and state.

Change: fleet::peers::engines has what processes tell each other of engines, gateway::engines what engines and peers tell this process.

--- a/crates/fleet/src/changes.rs
+++ b/crates/fleet/src/changes.rs
@@ -100,6 +100,13 @@
         }
     }
 
+    /// Returns the latest change of `topic` with its number.
+    #[must_use]
+    pub fn get(&self, topic: &Topic) -> Option<(u64, &Change)> {
+        let position = *self.positions.get(topic)?;
+        self.changes.get(&position).map(|change| (position, change))
+    }
+
     /// Removes the changes for which `keep` returns false.
     pub fn retain(&mut self, mut keep: impl FnMut(&Change) -> bool) {
         let positions = &mut self.positions;
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -6,6 +6,7 @@
 
 mod apply;
 mod build;
+mod engines;
 mod expiry;
 mod schedule;
 
@@ -33,6 +34,9 @@
 use crate::overlay::Candidate;
 use crate::overlay::Links;
 
+pub use self::engines::HOLD_TIMEOUT;
+pub use self::engines::Spread;
+
 /// Time without a message from a linked peer after which it doesn't count as reachable.
 pub const REACHABLE_TIMEOUT: Span = Span::millis(700);
 
@@ -384,23 +388,6 @@
         self.record(Topic::Prompt(key.0, key.1), Urgency::Paced, None, now);
     }
 
-    /// Records that the announcement of an engine has changed or was repeated, as `from` has
-    /// told, or the engine itself.
-    pub fn record_engine(&mut self, id: &str, changed: bool, from: Option<SocketAddr>, now: Time) {
-        let urgency = if changed { Urgency::Now } else { Urgency::Lazy };
-        // Without relays, only changes are passed on, by replicas.
-        let passed =
-            from.is_none() || !self.links.is_full || changed && self.own.member.keeper.is_some();
-        if passed {
-            self.record(Topic::Engine(id.to_owned()), urgency, from, now);
-        }
-    }
-
-    /// Records that `from` has told what is known of an engine.
-    pub fn record_engine_known(&mut self, id: &str, from: SocketAddr) {
-        self.log.record_known(&Topic::Engine(id.to_owned()), from);
-    }
-
     fn record(&mut self, topic: Topic, urgency: Urgency, from: Option<SocketAddr>, now: Time) {
         let at_once = match topic {
             Topic::Head | Topic::Profile(_) | Topic::Ended(_) => true,
--- /dev/null
+++ b/crates/fleet/src/peers/engines.rs
@@ -0,0 +1,162 @@
+//! What processes tell each other of engines, and which of them hold it.
+//!
+//! The phase of an engine's run only advances, and a later run replaces an earlier one, so
+//! news may arrive late, twice and out of order.
+
+use std::net::SocketAddr;
+
+use base::Span;
+use base::Time;
+use routing::Directory;
+use routing::directory::DirectoryUpdate;
+use routing::directory::EngineAnnouncement;
+
+use super::PEER_TIMEOUT;
+use super::Peer;
+use super::PeerTable;
+use super::schedule;
+use crate::changes::Topic;
+use crate::changes::Urgency;
+use crate::mesh::ReceivedAnnouncement;
+
+/// Maximum wait for peers to confirm that an engine leaves. An engine waits a second for the
+/// acknowledgement.
+pub const HOLD_TIMEOUT: Span = Span::millis(550);
+
+/// How many processes hold the state of an engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Spread {
+    /// Present peers that hold it. Those that are about to stop count only if there are no
+    /// others.
+    pub holders: usize,
+    /// Peers that are told directly, answer, and haven't confirmed it yet.
+    pub pending: usize,
+}
+
+impl Spread {
+    /// Returns whether each peer that answers holds it.
+    #[must_use]
+    pub fn is_complete(self) -> bool {
+        self.pending == 0 && self.holders > 0
+    }
+
+    /// Returns whether enough peers hold it once those that are pending have had their time:
+    /// they are told by the others.
+    #[must_use]
+    pub fn is_enough(self) -> bool {
+        self.holders > 0 && self.holders >= self.pending
+    }
+}
+
+impl PeerTable {
+    /// Records that the state of the engine `id` has changed, as this process has found out.
+    pub fn record_engine(&mut self, id: &str, now: Time) {
+        let topic = Topic::Engine(id.to_owned());
+        self.record(topic, Urgency::Now, None, now);
+    }
+
+    /// Applies an announcement that the engine has sent to this process.
+    pub fn hear_engine(
+        &mut self,
+        directory: &mut Directory,
+        announcement: EngineAnnouncement,
+        now: Time,
+    ) -> DirectoryUpdate {
+        let (id, phase) = (announcement.id.clone(), announcement.phase);
+        let update = directory.apply_announcement(announcement, now);
+        // A run that leaves may announce itself as ready; peers that don't hear it must
+        // remember that it leaves for as long as this process does.
+        let recorded = directory.get(&id).map(|entry| entry.announcement.phase);
+        let leaves = recorded > Some(phase);
+        match update {
+            DirectoryUpdate::Changed => self.record_engine(&id, now),
+            DirectoryUpdate::Refreshed => self.record_heartbeat(id, None, now),
+            DirectoryUpdate::Stale if leaves => self.record_heartbeat(id, None, now),
+            DirectoryUpdate::Stale | DirectoryUpdate::Rejected => {}
+        }
+        update
+    }
+
+    /// Applies what the process of the run `from` has told of an engine.
+    pub fn learn_engine(
+        &mut self,
+        directory: &mut Directory,
+        heard: ReceivedAnnouncement,
+        from: u64,
+        now: Time,
+    ) -> DirectoryUpdate {
+        let announcement = heard.announcement;
+        let at = Time(now.0.saturating_sub(Span::millis(heard.age_ms).0));
+        let id = announcement.id.clone();
+        let update = directory.apply_announcement(announcement, at);
+        let Some(&address) = self.runs.get(&from) else {
+            return update;
+        };
+        // Without relays, only changes are passed on, by replicas.
+        match update {
+            DirectoryUpdate::Changed if !self.links.is_full || self.own.member.keeper.is_some() => {
+                self.record(Topic::Engine(id), Urgency::Now, Some(address), now);
+            }
+            DirectoryUpdate::Refreshed if !self.links.is_full => {
+                self.record_heartbeat(id, Some(address), now);
+            }
+            DirectoryUpdate::Stale => self.log.record_known(&Topic::Engine(id), address),
+            DirectoryUpdate::Changed | DirectoryUpdate::Refreshed | DirectoryUpdate::Rejected => {}
+        }
+        update
+    }
+
+    fn record_heartbeat(&mut self, id: String, from: Option<SocketAddr>, now: Time) {
+        self.record(Topic::Engine(id), Urgency::Lazy, from, now);
+    }
+
+    /// Records that the run of the engine `id` that began at `started_ms` has ended, as the
+    /// engine has told this process; the run that is known here if it names none.
+    ///
+    /// Returns whether that is new.
+    pub fn hear_end(
+        &mut self,
+        directory: &mut Directory,
+        id: &str,
+        started_ms: Option<u64>,
+        now: Time,
+    ) -> bool {
+        let is_new = directory.mark_gone(id, started_ms, now).is_some();
+        if is_new {
+            self.record_engine(id, now);
+        }
+        is_new
+    }
+
+    /// Returns how many processes hold the present state of the engine `id`.
+    #[must_use]
+    pub fn spread(&self, id: &str, now: Time) -> Spread {
+        let change = self.log.get(&Topic::Engine(id.to_owned()));
+        let mut spread = Spread::default();
+        let Some((position, change)) = change else {
+            return spread;
+        };
+        let mut leaving = 0;
+        let present = self.peers.values();
+        for peer in present.filter(|peer| peer.is_heard(PEER_TIMEOUT, now)) {
+            let holds = peer.link.confirmed >= position || !change.concerns(peer.member.address);
+            if holds && peer.leaving {
+                leaving += 1;
+            } else if holds {
+                spread.holders += 1;
+            } else if self.is_told(peer, now) {
+                spread.pending += 1;
+            }
+        }
+        if spread == Spread::default() {
+            spread.holders = leaving;
+        }
+        spread
+    }
+
+    /// Returns whether `peer` is told directly and answers.
+    fn is_told(&self, peer: &Peer, now: Time) -> bool {
+        let is_linked = self.links.paces.contains_key(&peer.member.address);
+        (is_linked || schedule::asks(peer, now)) && peer.is_usable(now) && peer.is_reachable(now)
+    }
+}
--- a/crates/fleet/src/peers/schedule.rs
+++ b/crates/fleet/src/peers/schedule.rs
@@ -193,10 +193,7 @@
     fn is_due(&self, address: SocketAddr, peer: &Peer, active: bool, now: Time) -> bool {
         let link = &peer.link;
         let pace = self.links.paces.get(&address);
-        let asks = link
-            .asked
-            .is_some_and(|at| at.until(now) < FOLLOWER_TIMEOUT);
-        if pace.is_none() && !asks {
+        if pace.is_none() && !asks(peer, now) {
             return false;
         }
         if link.silent {
@@ -229,6 +226,12 @@
     }
 }
 
+/// Returns whether `peer` has asked recently, and counts as linked.
+pub(super) fn asks(peer: &Peer, now: Time) -> bool {
+    let asked = peer.link.asked;
+    asked.is_some_and(|at| at.until(now) < FOLLOWER_TIMEOUT)
+}
+
 fn is_probe_due(peer: &Peer, now: Time) -> bool {
     let last = peer.link.last_exchange.max(peer.link.in_flight);
     last.is_none_or(|at| at.until(now) >= SILENT_INTERVAL)
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -18,13 +18,12 @@
 use futures_lite::FutureExt as _;
 use http::RequestHead;
 use http::write::HeadWriter;
-use platform::announce;
 use platform::paths::ControlRequest;
-use routing::directory::DirectoryUpdate;
 use routing::intake::Phase;
 
 use crate::config_sync;
 use crate::conn::Conn;
+use crate::engines;
 use crate::evacuations;
 use crate::evacuations::OrderError;
 use crate::intake;
@@ -155,8 +154,14 @@
     match ControlRequest::parse(head) {
         ControlRequest::Readiness if shared.health.is_serving() => (200, Vec::new()),
         ControlRequest::Readiness => (503, Vec::new()),
-        ControlRequest::Announce(id) => handle_announcement(shared, &id, body),
-        ControlRequest::Deregister(id) => handle_deregistration(shared, &id, body),
+        ControlRequest::Announce(id) => {
+            engines::announce(shared, &id, body);
+            (200, b"{}".to_vec())
+        }
+        ControlRequest::Deregister(id) => {
+            engines::end(shared, &id, body);
+            (200, b"{}".to_vec())
+        }
         ControlRequest::SubmitConfig => submit_config(shared, body).await,
         ControlRequest::FetchConfig => fetch_config(shared).await,
         ControlRequest::StartEvacuation(domain) => order(shared, &domain, true).await,
@@ -172,72 +177,6 @@
         .into_bytes()
 }
 
-fn handle_announcement(shared: &Arc<ProcessContext>, id: &str, body: &[u8]) -> (u16, Vec<u8>) {
-    let announcement = match announce::parse(id, body) {
-        Ok(announcement) => announcement,
-        Err(error) => {
-            log::warn!("engine: event=announced engine={id} outcome=unreadable reason=\"{error}\"");
-            // Sending it to another process would not help, so the response isn't an error.
-            return (200, b"{}".to_vec());
-        }
-    };
-    let now = shared.now();
-    let (phase, sequence, started_ms, cold_ms) = (
-        announcement.phase,
-        announcement.sequence,
-        announcement.started_ms,
-        announcement.cold_ms,
-    );
-    let mut state = shared.state();
-    let update = state.directory.apply_announcement(announcement, now);
-    let recorded = state.directory.get(id).map(|entry| &entry.announcement);
-    // A run that leaves may announce itself as ready; peers that don't hear it must remember
-    // that it leaves for as long as this process does.
-    let leaves = recorded.is_some_and(|recorded| recorded.phase > phase);
-    let heard = matches!(
-        update,
-        DirectoryUpdate::Refreshed | DirectoryUpdate::Changed
-    );
-    if heard || leaves {
-        let changed = update == DirectoryUpdate::Changed;
-        state.queue_announcement(id, changed, now);
-    }
-    if update == DirectoryUpdate::Changed {
-        state.update_engine_pools(shared, now);
-        drop(state);
-        log::info!(
-            "engine: event=announced engine={id} phase={phase:?} sequence={sequence} born={started_ms}"
-        );
-        if cold_ms > 0 {
-            log::info!("engine: event=cold engine={id} left_ms={cold_ms}");
-        }
-        shared.update_needed.notify(usize::MAX);
-    }
-    (200, b"{}".to_vec())
-}
-
-fn handle_deregistration(shared: &Arc<ProcessContext>, id: &str, body: &[u8]) -> (u16, Vec<u8>) {
-    let now = shared.now();
-    let started_ms = match announce::parse_deregistration(body) {
-        Ok(started_ms) => started_ms,
-        Err(error) => {
-            log::warn!("engine: event=left engine={id} outcome=unreadable reason=\"{error}\"");
-            return (200, b"{}".to_vec());
-        }
-    };
-    let mut state = shared.state();
-    let removed = state.directory.mark_gone(id, started_ms, now);
-    let known = removed.is_some();
-    if known {
-        state.queue_announcement(id, true, now);
-        state.update_engine_pools(shared, now);
-    }
-    drop(state);
-    log::info!("engine: event=left engine={id} born={started_ms:?} known={known}");
-    shared.update_needed.notify(usize::MAX);
-    (200, b"{}".to_vec())
-}
-
 async fn submit_config(shared: &Arc<ProcessContext>, body: &[u8]) -> (u16, Vec<u8>) {
     let site = match platform::site::parse(body) {
         Ok(site) => site,
--- a/crates/gateway/src/forwarding/availability.rs
+++ b/crates/gateway/src/forwarding/availability.rs
@@ -55,7 +55,7 @@
         if !state.directory.record_leaving(engine, now) {
             return;
         }
-        state.queue_announcement(&engine.id, true, now);
+        state.peers.record_engine(&engine.id, now);
         state.update_engine_pools(self.shared, now);
         drop(state);
         log::info!(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`connection_pool`]: idle connections to engines.
 //! - [`control`]: the control interface for engines, operators and the load balancer.
 //! - [`crash_news`]: exchanges with peers which prompt segments crash engines.
+//! - [`engines`]: what engines tell, and when their departures are acknowledged.
 //! - [`evacuations`]: orders to evacuate failure domains.
 //! - [`forwarding`]: forwards one request to engines.
 //! - [`frontend`]: the HTTP server for callers.
@@ -42,6 +43,7 @@
 pub mod connection_pool;
 pub mod control;
 pub mod crash_news;
+pub mod engines;
 pub mod evacuations;
 pub mod forwarding;
 pub mod frontend;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -18,11 +18,11 @@
 use fleet::peers::PEER_TIMEOUT;
 use fleet::peers::UPDATE_TIMEOUT;
 use futures_lite::FutureExt as _;
-use routing::directory::DirectoryUpdate;
 use routing::placement::EnginePool;
 
 use crate::budget;
 use crate::crash_news;
+use crate::engines;
 use crate::evacuations;
 use crate::group::Input;
 use crate::leader_requests::request_leader_directly;
@@ -172,34 +172,13 @@
 /// Applies a peer's update to the state; `asks` if it is a request.
 fn apply_update(shared: &Arc<ProcessContext>, update: Update, asks: bool) {
     let now = shared.now();
-    let from = update.sender.address;
+    let from = (update.sender.run_id, update.sender.address);
     let mut guard = shared.state();
     let state = &mut *guard;
     let before = state.peers.position();
     let applied = state.peers.apply(update, asks, now);
     apply_members(shared, state, &applied);
-    let mut changed = false;
-    for heard in applied.announcements {
-        let id = heard.announcement.id.clone();
-        let at = Time(now.0.saturating_sub(Span::millis(heard.age_ms).0));
-        let phase = heard.announcement.phase;
-        match state.directory.apply_announcement(heard.announcement, at) {
-            DirectoryUpdate::Changed => {
-                changed = true;
-                state.peers.record_engine(&id, true, Some(from), now);
-                log::info!(
-                    "engine: event=learned engine={id} phase={phase:?} from={from} age_ms={}",
-                    heard.age_ms
-                );
-            }
-            DirectoryUpdate::Refreshed => state.peers.record_engine(&id, false, Some(from), now),
-            DirectoryUpdate::Stale => state.peers.record_engine_known(&id, from),
-            DirectoryUpdate::Rejected => {}
-        }
-    }
-    if changed {
-        state.update_engine_pools(shared, now);
-    }
+    engines::learn(shared, state, applied.announcements, from, now);
     for address in &applied.loaded {
         let Some(peer) = state.peers.get(*address) else {
             continue;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -361,11 +361,6 @@
         let present = |peer: &&Peer| peer.is_heard(PEER_TIMEOUT, now);
         1 + self.peers.values().filter(present).count()
     }
-
-    /// Tells the peers of a change of the engine `id`, or of a repeated announcement.
-    pub fn queue_announcement(&mut self, id: &str, changed: bool, now: Time) {
-        self.peers.record_engine(id, changed, None, now);
-    }
 }
 
 impl ProcessContext {
--- /dev/null
+++ b/crates/mulberryd/tests/departures.rs
@@ -0,0 +1,198 @@
+//! Engines that leave while real processes are killed, restart and freeze.
+
+use std::fs;
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::path::Path;
+use std::path::PathBuf;
+use std::thread;
+use std::time::Duration;
+
+use platform::test_support;
+use routing::directory::EngineAnnouncement;
+use rustix::process::Signal;
+use soak::caller;
+use soak::oracle::Oracle;
+use soak::process::Process;
+use soak::setup;
+
+/// Number of gateways, three of them with a disk.
+const GATEWAYS: u8 = 5;
+
+/// A gateway without a disk.
+const HOME: usize = 4;
+
+/// The lines of a gateway's metrics by which it knows the engine, and that it has ended.
+const AVAILABLE: &str = "mulberrytally_engines_available 1";
+const ENDED: &str = "mulberrytally_engines_ended 1";
+
+/// Time after which other gateways have stopped sending to one that doesn't answer, so that
+/// nothing waits in its socket.
+const SILENCE: Duration = Duration::from_millis(2_500);
+
+/// Time between two polls.
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Maximum polls of a wait, far more than it needs.
+const MAX_POLLS: u32 = 200;
+
+/// Polls in which what must not happen would have happened.
+const QUIET_POLLS: u32 = 30;
+
+/// Gateways that know one engine, which sends no heartbeats of its own.
+struct Site {
+    folder: PathBuf,
+    gateways: Vec<Process>,
+    addresses: Vec<SocketAddrV4>,
+    engine: EngineAnnouncement,
+}
+
+impl Site {
+    fn start(name: &str) -> Self {
+        let folder = std::env::temp_dir().join(format!("departures-{name}-{}", std::process::id()));
+        let _ = fs::remove_dir_all(&folder);
+        let port = setup::find_free_ports(4);
+        let gateways = (0..GATEWAYS).map(|index| Process::new(&folder, index, port, index < 3));
+        let gateways: Vec<Process> = gateways.collect();
+        let addresses = gateways.iter().map(|gateway| gateway.control_address);
+        let mut site = Self {
+            addresses: addresses.collect(),
+            gateways,
+            engine: setup::announcement("e", "list", SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9)),
+            folder,
+        };
+        for index in 0..site.gateways.len() {
+            site.start_gateway(index, true);
+        }
+        let accepted = caller::submit_config(&site.addresses, 1, 0, &Oracle::default());
+        assert!(accepted, "no configuration is accepted");
+        assert!(site.beat(HOME));
+        for index in 0..site.gateways.len() {
+            site.wait_for(index, AVAILABLE);
+        }
+        site
+    }
+
+    fn start_gateway(&mut self, index: usize, is_first: bool) {
+        let daemon = Path::new(env!("CARGO_BIN_EXE_mulberryd"));
+        let seeds = &self.addresses[..3];
+        let gateway = &mut self.gateways[index];
+        gateway.start(daemon, seeds, is_first).expect("started");
+    }
+
+    fn post(&self, index: usize, (path, body): (String, String)) -> Option<u16> {
+        let to = self.addresses[index];
+        let answer = caller::control_request(to, "POST", &path, body.as_bytes());
+        answer.map(|(status, _)| status)
+    }
+
+    /// Sends the next heartbeat to a gateway; returns whether it is acknowledged.
+    fn beat(&mut self, index: usize) -> bool {
+        self.engine.sequence += 1;
+        self.post(index, test_support::heartbeat(&self.engine)) == Some(200)
+    }
+
+    /// The engine tells a gateway that its run has ended.
+    fn deregister(&self, index: usize) -> Option<u16> {
+        self.post(index, test_support::deregistration(&self.engine))
+    }
+
+    /// Returns whether the metrics of a gateway contain a line.
+    fn shows(&self, index: usize, line: &str) -> bool {
+        let answer = caller::control_request(self.addresses[index], "GET", "/metrics", b"");
+        answer.is_some_and(|(_, text)| {
+            let text = String::from_utf8_lossy(&text);
+            text.lines().any(|other| other == line)
+        })
+    }
+
+    fn wait_for(&self, index: usize, line: &str) {
+        let shown = (0..MAX_POLLS).any(|_| {
+            thread::sleep(POLL_INTERVAL);
+            self.shows(index, line)
+        });
+        assert!(shown, "{line} at {}", self.addresses[index]);
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        for gateway in &mut self.gateways {
+            gateway.kill();
+        }
+        if !thread::panicking() {
+            let _ = fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+/// Guards against an engine that has left and is used by all gateways but the one that was
+/// told: that one was killed as soon as it had acknowledged it.
+#[test]
+fn an_acknowledged_departure_outlives_the_gateway_that_was_told() {
+    let mut site = Site::start("killed");
+    assert_eq!(site.deregister(HOME), Some(200));
+    site.gateways[HOME].kill();
+    for index in 0..HOME {
+        site.wait_for(index, ENDED);
+    }
+}
+
+/// Guards against a gateway that uses an engine which has left: it had acknowledged that and
+/// restarted at its address, and an earlier heartbeat arrived.
+#[test]
+fn a_restarted_gateway_is_told_again_that_an_engine_has_left() {
+    let mut site = Site::start("restarted");
+    assert_eq!(site.deregister(HOME), Some(200));
+    for index in 0..HOME {
+        site.wait_for(index, ENDED);
+    }
+    site.gateways[HOME].kill();
+    site.start_gateway(HOME, false);
+    let beats = (0..MAX_POLLS).any(|_| {
+        thread::sleep(POLL_INTERVAL);
+        site.beat(HOME)
+    });
+    assert!(beats, "it acknowledges no heartbeat");
+    site.wait_for(HOME, ENDED);
+}
+
+/// Guards against a gateway that uses an engine which has left: it froze before it had told
+/// the others of a heartbeat, and the engine left meanwhile.
+#[test]
+fn a_gateway_that_was_frozen_is_told_that_an_engine_has_left() {
+    let mut site = Site::start("frozen");
+    assert!(site.beat(HOME));
+    thread::sleep(POLL_INTERVAL);
+    site.gateways[HOME].signal(Signal::STOP);
+    thread::sleep(SILENCE);
+    assert!(site.beat(0));
+    let acknowledged = (0..MAX_POLLS).any(|_| site.deregister(0) == Some(200));
+    assert!(acknowledged, "not acknowledged");
+    thread::sleep(SILENCE);
+    site.gateways[HOME].signal(Signal::CONT);
+    site.wait_for(HOME, ENDED);
+}
+
+/// Guards against an engine that has left and is used: a gateway that reached no other one had
+/// acknowledged it.
+#[test]
+fn a_gateway_that_reaches_no_other_one_acknowledges_no_departure() {
+    let mut site = Site::start("alone");
+    for gateway in &site.gateways[..HOME] {
+        gateway.signal(Signal::STOP);
+    }
+    assert_eq!(site.deregister(HOME), Some(503));
+    for gateway in &site.gateways[..HOME] {
+        gateway.signal(Signal::CONT);
+    }
+    // What it was told isn't lost.
+    for index in 0..HOME {
+        site.wait_for(index, ENDED);
+    }
+    for _ in 0..QUIET_POLLS {
+        site.beat(1);
+        thread::sleep(POLL_INTERVAL);
+    }
+    assert!(site.shows(1, ENDED), "it is used again");
+}
