--- a/crates/fleet/src/changes.rs
+++ b/crates/fleet/src/changes.rs
@@ -53,15 +53,16 @@
     pub learned: Time,
     /// When the process may pass it on.
     pub due: Time,
-    /// The links that have told the same.
-    pub known_by: Vec<SocketAddr>,
+    /// The runs of processes that have told the same. A process that restarts at the address
+    /// of one of them knows nothing of it.
+    pub known_by: Vec<u64>,
 }
 
 impl Change {
-    /// Returns whether `link` should be told.
+    /// Returns whether the process of `run` should be told.
     #[must_use]
-    pub fn concerns(&self, link: SocketAddr) -> bool {
-        !self.known_by.contains(&link)
+    pub fn concerns(&self, run: u64) -> bool {
+        !self.known_by.contains(&run)
     }
 }
 
@@ -89,14 +90,14 @@
         self.changes.insert(self.position, change);
     }
 
-    /// Records that `link` has told the present value of `topic`.
-    pub fn record_known(&mut self, topic: &Topic, link: SocketAddr) {
+    /// Records that the process of `run` has told the present value of `topic`.
+    pub fn record_known(&mut self, topic: &Topic, run: u64) {
         let position = self.positions.get(topic);
         let change = position.and_then(|position| self.changes.get_mut(position));
         if let Some(change) = change
-            && !change.known_by.contains(&link)
+            && !change.known_by.contains(&run)
         {
-            change.known_by.push(link);
+            change.known_by.push(run);
         }
     }
 
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -388,7 +388,8 @@
         self.record(Topic::Prompt(key.0, key.1), Urgency::Paced, None, now);
     }
 
-    fn record(&mut self, topic: Topic, urgency: Urgency, from: Option<SocketAddr>, now: Time) {
+    /// Records a change that the process of the run `from` has told, or that this one has made.
+    fn record(&mut self, topic: Topic, urgency: Urgency, from: Option<u64>, now: Time) {
         let at_once = match topic {
             Topic::Head | Topic::Profile(_) | Topic::Ended(_) => true,
             Topic::Load(..) | Topic::Prompt(..) | Topic::Engine(_) => {
--- a/crates/fleet/src/peers/apply.rs
+++ b/crates/fleet/src/peers/apply.rs
@@ -1,7 +1,5 @@
 //! What a process learns from the updates of its peers.
 
-use std::net::SocketAddr;
-
 use base::Span;
 use base::Time;
 
@@ -19,7 +17,7 @@
     /// Applies an update of a peer; `asks` if it is a request.
     pub fn apply(&mut self, update: Update, asks: bool, now: Time) -> Applied {
         let mut applied = Applied::default();
-        let from = update.sender.address;
+        let from = update.sender.run_id;
         if !self.meet(&update.sender, true, now, &mut applied) {
             return applied;
         }
@@ -54,7 +52,7 @@
         applied.announcements = update.announcements;
         applied.evacuations = update.evacuations;
         let own_run = self.own.member.run_id;
-        if let Some(peer) = self.peers.get_mut(&from) {
+        if let Some(peer) = self.peers.get_mut(&update.sender.address) {
             let link = &mut peer.link;
             if update.since <= link.received {
                 link.received = link.received.max(update.position);
@@ -69,13 +67,7 @@
         applied
     }
 
-    fn apply_profile(
-        &mut self,
-        profile: &Profile,
-        from: SocketAddr,
-        now: Time,
-        applied: &mut Applied,
-    ) {
+    fn apply_profile(&mut self, profile: &Profile, from: u64, now: Time, applied: &mut Applied) {
         let address = profile.member.address;
         if !self.meet(&profile.member, false, now, applied) {
             return;
@@ -102,7 +94,7 @@
         }
     }
 
-    fn apply_loads(&mut self, news: &LoadNews, from: SocketAddr, now: Time, applied: &mut Applied) {
+    fn apply_loads(&mut self, news: &LoadNews, from: u64, now: Time, applied: &mut Applied) {
         let Some(&address) = self.runs.get(&news.run_id) else {
             return;
         };
@@ -129,13 +121,7 @@
         }
     }
 
-    fn apply_prompt(
-        &mut self,
-        news: PromptNews,
-        from: SocketAddr,
-        now: Time,
-        applied: &mut Applied,
-    ) {
+    fn apply_prompt(&mut self, news: PromptNews, from: u64, now: Time, applied: &mut Applied) {
         let Some(&address) = self.runs.get(&news.run_id) else {
             return;
         };
--- a/crates/fleet/src/peers/build.rs
+++ b/crates/fleet/src/peers/build.rs
@@ -40,15 +40,15 @@
             prompts: Vec::new(),
             evacuations: self.evacuations.clone(),
         };
-        if peer.is_none() {
+        let Some(run) = peer.map(|peer| peer.member.run_id) else {
             // An address of the settings may be outdated.
             update.position = 0;
             update.profiles.push(self.own.clone());
             return update;
-        }
+        };
         let mut loads: Map<u64, Vec<(u64, EngineLoad, u64)>> = Map::default();
         for (position, change) in self.log.after(link.confirmed) {
-            if !change.concerns(address) {
+            if !change.concerns(run) {
                 continue;
             }
             if change.due > now {
--- a/crates/fleet/src/peers/engines.rs
+++ b/crates/fleet/src/peers/engines.rs
@@ -3,8 +3,6 @@
 //! The phase of an engine's run only advances, and a later run replaces an earlier one, so
 //! news may arrive late, twice and out of order.
 
-use std::net::SocketAddr;
-
 use base::Span;
 use base::Time;
 use routing::Directory;
@@ -89,24 +87,21 @@
         let at = Time(now.0.saturating_sub(Span::millis(heard.age_ms).0));
         let id = announcement.id.clone();
         let update = directory.apply_announcement(announcement, at);
-        let Some(&address) = self.runs.get(&from) else {
-            return update;
-        };
         // Without relays, only changes are passed on, by replicas.
         match update {
             DirectoryUpdate::Changed if !self.links.is_full || self.own.member.keeper.is_some() => {
-                self.record(Topic::Engine(id), Urgency::Now, Some(address), now);
+                self.record(Topic::Engine(id), Urgency::Now, Some(from), now);
             }
             DirectoryUpdate::Refreshed if !self.links.is_full => {
-                self.record_heartbeat(id, Some(address), now);
+                self.record_heartbeat(id, Some(from), now);
             }
-            DirectoryUpdate::Stale => self.log.record_known(&Topic::Engine(id), address),
+            DirectoryUpdate::Stale => self.log.record_known(&Topic::Engine(id), from),
             DirectoryUpdate::Changed | DirectoryUpdate::Refreshed | DirectoryUpdate::Rejected => {}
         }
         update
     }
 
-    fn record_heartbeat(&mut self, id: String, from: Option<SocketAddr>, now: Time) {
+    fn record_heartbeat(&mut self, id: String, from: Option<u64>, now: Time) {
         self.record(Topic::Engine(id), Urgency::Lazy, from, now);
     }
 
@@ -139,7 +134,7 @@
         let mut leaving = 0;
         let present = self.peers.values();
         for peer in present.filter(|peer| peer.is_heard(PEER_TIMEOUT, now)) {
-            let holds = peer.link.confirmed >= position || !change.concerns(peer.member.address);
+            let holds = peer.link.confirmed >= position || !change.concerns(peer.member.run_id);
             if holds && peer.leaving {
                 leaving += 1;
             } else if holds {
--- a/crates/fleet/src/peers/schedule.rs
+++ b/crates/fleet/src/peers/schedule.rs
@@ -137,13 +137,14 @@
     fn record_foreign(&mut self, now: Time) {
         let peers = self.peers.iter();
         let topics = peers.flat_map(|(&address, peer)| {
+            let run = peer.member.run_id;
             let engines = peer.loads.keys();
             let loads = engines.map(move |&engine| Topic::Load(address, engine));
             loads
                 .chain([Topic::Profile(address)])
-                .map(move |topic| (address, topic))
+                .map(move |topic| (run, topic))
         });
-        let topics: Vec<(SocketAddr, Topic)> = topics.collect();
+        let topics: Vec<(u64, Topic)> = topics.collect();
         for (from, topic) in topics {
             self.record(topic, Urgency::Paced, Some(from), now);
         }
@@ -216,7 +217,7 @@
         let pending = self
             .log
             .after(link.sent)
-            .filter(|(_, change)| change.due <= now && change.concerns(address));
+            .filter(|(_, change)| change.due <= now && change.concerns(peer.member.run_id));
         let urgency = pending.map(|(_, change)| change.urgency).max();
         match urgency {
             Some(Urgency::Now) => true,
