--- a/crates/fleet/src/peers/engines.rs
+++ b/crates/fleet/src/peers/engines.rs
@@ -70,7 +70,7 @@
             DirectoryUpdate::Changed => self.record_engine(&id, now),
             DirectoryUpdate::Refreshed => self.record_heartbeat(id, None, now),
             DirectoryUpdate::Stale if leaves => self.record_heartbeat(id, None, now),
-            DirectoryUpdate::Stale | DirectoryUpdate::Rejected => {}
+            DirectoryUpdate::Stale | DirectoryUpdate::Known | DirectoryUpdate::Rejected => {}
         }
         update
     }
@@ -86,7 +86,7 @@
         let announcement = heard.announcement;
         let at = Time(now.0.saturating_sub(Span::millis(heard.age_ms).0));
         let id = announcement.id.clone();
-        let update = directory.apply_announcement(announcement, at);
+        let update = directory.apply_announcement(announcement.clone(), at);
         // Without relays, only changes are passed on, by replicas.
         match update {
             DirectoryUpdate::Changed if !self.links.is_full || self.own.member.keeper.is_some() => {
@@ -95,12 +95,30 @@
             DirectoryUpdate::Refreshed if !self.links.is_full => {
                 self.record_heartbeat(id, Some(from), now);
             }
-            DirectoryUpdate::Stale => self.log.record_known(&Topic::Engine(id), from),
+            DirectoryUpdate::Known => self.log.record_known(&Topic::Engine(id), from),
+            DirectoryUpdate::Stale => {
+                let newer = directory.newer_than(&announcement);
+                self.correct(newer, from, now);
+            }
             DirectoryUpdate::Changed | DirectoryUpdate::Refreshed | DirectoryUpdate::Rejected => {}
         }
         update
     }
 
+    /// Makes sure that the process of the run `from`, which has told something older than the
+    /// state of the engine `id`, is told that state.
+    fn correct(&mut self, id: &str, from: u64, now: Time) {
+        let link = self.runs.get(&from).and_then(|at| self.peers.get(at));
+        let confirmed = link.map_or(0, |peer| peer.link.confirmed);
+        let topic = Topic::Engine(id.to_owned());
+        let is_pending = self.log.get(&topic).is_some_and(|(position, change)| {
+            position > confirmed && change.concerns(from) && change.due <= now
+        });
+        if !is_pending {
+            self.record(topic, Urgency::Now, None, now);
+        }
+    }
+
     fn record_heartbeat(&mut self, id: String, from: Option<u64>, now: Time) {
         self.record(Topic::Engine(id), Urgency::Lazy, from, now);
     }
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -117,7 +117,12 @@
                     "engine: event=learned engine={id} phase={phase:?} from={address} age_ms={age_ms}"
                 );
             }
-            DirectoryUpdate::Stale | DirectoryUpdate::Refreshed | DirectoryUpdate::Rejected => {}
+            DirectoryUpdate::Stale => {
+                log::debug!(
+                    "engine: event=corrected engine={id} phase={phase:?} peer={address} age_ms={age_ms}"
+                );
+            }
+            DirectoryUpdate::Known | DirectoryUpdate::Refreshed | DirectoryUpdate::Rejected => {}
         }
     }
     if changed {
--- a/crates/routing/src/directory.rs
+++ b/crates/routing/src/directory.rs
@@ -9,6 +9,7 @@
 //! An engine's answers may say that it leaves, too. To the directory, and to the peers, its
 //! run drains from then on; only a later run is used again.
 
+use std::cmp;
 use std::net::SocketAddrV4;
 
 use base::Map;
@@ -84,8 +85,11 @@
 /// The effect of an announcement on the directory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DirectoryUpdate {
-    /// None: the announcement is older than the recorded one.
+    /// None: a later run or phase of the engine is recorded, or a later run of another one at
+    /// its address. A peer that tells it lacks what [`Directory::newer_than`] names.
     Stale,
+    /// None: the run and the phase are recorded, with the same announcement or a later one.
+    Known,
     /// None: it names a service that isn't configured, in the place of an engine of one that
     /// is, or there are too many engines.
     Rejected,
@@ -135,7 +139,7 @@
         announcement: EngineAnnouncement,
         received_at: Time,
     ) -> DirectoryUpdate {
-        if self.is_superseded(&announcement) {
+        if self.superseding(&announcement).is_some() {
             return DirectoryUpdate::Stale;
         }
         let configured = self.is_configured(&announcement);
@@ -168,14 +172,20 @@
         }
         let same_run = announcement.started_ms == known.announcement.started_ms;
         if same_run {
+            let recorded = &known.announcement;
             // A run that has begun to drain does not become ready again.
-            let is_stale = (announcement.phase, announcement.sequence)
-                <= (known.announcement.phase, known.announcement.sequence);
-            if is_stale {
-                if known.announcement.phase != Phase::Ready {
+            let outcome = match announcement.phase.cmp(&recorded.phase) {
+                cmp::Ordering::Less => Some(DirectoryUpdate::Stale),
+                cmp::Ordering::Equal if announcement.sequence <= recorded.sequence => {
+                    Some(DirectoryUpdate::Known)
+                }
+                cmp::Ordering::Equal | cmp::Ordering::Greater => None,
+            };
+            if let Some(outcome) = outcome {
+                if recorded.phase != Phase::Ready {
                     known.last_heard = known.last_heard.max(received_at);
                 }
-                return DirectoryUpdate::Stale;
+                return outcome;
             }
         }
         let changed = !same_run
@@ -253,22 +263,29 @@
         ids.insert(announcement.id.clone());
     }
 
-    /// Returns whether a later run uses the same address.
-    fn is_superseded(&self, announcement: &EngineAnnouncement) -> bool {
+    /// Returns the engine of which a later run uses the same address.
+    fn superseding(&self, announcement: &EngineAnnouncement) -> Option<&DirectoryEntry> {
         let ids = self.addresses.get(&announcement.address);
         let mut others = ids
             .into_iter()
             .flatten()
-            .filter_map(|id| self.engines.get(id));
-        announcement.phase != Phase::Gone
-            && others.any(|engine| {
-                engine.announcement.address == announcement.address
-                    && engine.announcement.id != announcement.id
-                    && engine.announcement.started_ms > announcement.started_ms
-                    && engine.announcement.phase != Phase::Gone
-                    && (self.is_configured(&engine.announcement)
-                        || !self.is_configured(announcement))
-            })
+            .filter_map(|id| self.engines.get(id))
+            .filter(|_| announcement.phase != Phase::Gone);
+        others.find(|engine| {
+            engine.announcement.address == announcement.address
+                && engine.announcement.id != announcement.id
+                && engine.announcement.started_ms > announcement.started_ms
+                && engine.announcement.phase != Phase::Gone
+                && (self.is_configured(&engine.announcement) || !self.is_configured(announcement))
+        })
+    }
+
+    /// Returns the identifier of the engine whose recorded run or phase makes `announcement`
+    /// [`DirectoryUpdate::Stale`].
+    #[must_use]
+    pub fn newer_than<'a>(&'a self, announcement: &'a EngineAnnouncement) -> &'a str {
+        let superseding = self.superseding(announcement);
+        superseding.map_or(&announcement.id, |engine| &engine.announcement.id)
     }
 
     /// Marks the engine `id` as gone; `started_ms` identifies the run where it is known.
@@ -305,7 +322,7 @@
     /// Returns whether `engine` is the latest run at its address.
     #[must_use]
     pub fn is_current(&self, engine: &DirectoryEntry) -> bool {
-        !self.is_superseded(&engine.announcement)
+        self.superseding(&engine.announcement).is_none()
     }
 
     /// Removes engines that ended, or were last heard from, long ago.
