--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -24,6 +24,7 @@
 use crate::config_sync;
 use crate::conn::Conn;
 use crate::engines;
+use crate::engines::NotHeld;
 use crate::evacuations;
 use crate::evacuations::OrderError;
 use crate::intake;
@@ -154,14 +155,8 @@
     match ControlRequest::parse(head) {
         ControlRequest::Readiness if shared.health.is_serving() => (200, Vec::new()),
         ControlRequest::Readiness => (503, Vec::new()),
-        ControlRequest::Announce(id) => {
-            engines::announce(shared, &id, body);
-            (200, b"{}".to_vec())
-        }
-        ControlRequest::Deregister(id) => {
-            engines::end(shared, &id, body);
-            (200, b"{}".to_vec())
-        }
+        ControlRequest::Announce(id) => acknowledge(engines::announce(shared, &id, body).await),
+        ControlRequest::Deregister(id) => acknowledge(engines::end(shared, &id, body).await),
         ControlRequest::SubmitConfig => submit_config(shared, body).await,
         ControlRequest::FetchConfig => fetch_config(shared).await,
         ControlRequest::StartEvacuation(domain) => order(shared, &domain, true).await,
@@ -177,6 +172,15 @@
         .into_bytes()
 }
 
+/// Answers what an engine has told.
+fn acknowledge(result: Result<(), NotHeld>) -> (u16, Vec<u8>) {
+    match result {
+        Ok(()) => (200, b"{}".to_vec()),
+        // The engine tells another process.
+        Err(error) => (503, error_body(&error.to_string())),
+    }
+}
+
 async fn submit_config(shared: &Arc<ProcessContext>, body: &[u8]) -> (u16, Vec<u8>) {
     let site = match platform::site::parse(body) {
         Ok(site) => site,
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -1,26 +1,43 @@
 //! What engines tell this process, and what peers tell of engines.
+//!
+//! An engine that leaves says so once and takes the acknowledgement for final. It is
+//! acknowledged when the peers that this process reaches hold it, so that the news outlives
+//! this process.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use async_io::Timer;
 use base::Time;
 use fleet::mesh::ReceivedAnnouncement;
+use fleet::peers::HOLD_TIMEOUT;
+use futures_lite::FutureExt as _;
 use platform::announce;
 use routing::directory::DirectoryUpdate;
 use routing::directory::EngineAnnouncement;
 use routing::directory::Phase;
+use thiserror::Error;
 
 use crate::state::ProcessContext;
 use crate::state::ProcessState;
 
-/// Applies an engine's announcement.
-pub fn announce(shared: &Arc<ProcessContext>, id: &str, body: &[u8]) {
+/// The news that an engine leaves isn't acknowledged: too few peers have confirmed it in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("no other process holds this yet")]
+pub struct NotHeld;
+
+/// Applies an engine's announcement; returns once it may be acknowledged.
+///
+/// # Errors
+///
+/// Fails if the engine leaves and too few peers confirm it in time.
+pub async fn announce(shared: &Arc<ProcessContext>, id: &str, body: &[u8]) -> Result<(), NotHeld> {
     let announcement = match announce::parse(id, body) {
         Ok(announcement) => announcement,
         Err(error) => {
             log::warn!("engine: event=announced engine={id} outcome=unreadable reason=\"{error}\"");
             // Sending it to another process would not help, so the response isn't an error.
-            return;
+            return Ok(());
         }
     };
     let now = shared.now();
@@ -40,25 +57,33 @@
         }
         shared.update_needed.notify(usize::MAX);
     }
-    if phase != Phase::Ready {
-        log_holders(shared, id, now);
+    if phase == Phase::Ready || update == DirectoryUpdate::Rejected {
+        return Ok(());
     }
+    await_holders(shared, id, now).await
 }
 
-/// Records the end of an engine's run.
-pub fn end(shared: &Arc<ProcessContext>, id: &str, body: &[u8]) {
+/// Records the end of an engine's run; returns once it may be acknowledged.
+///
+/// # Errors
+///
+/// Fails if too few peers confirm it in time.
+pub async fn end(shared: &Arc<ProcessContext>, id: &str, body: &[u8]) -> Result<(), NotHeld> {
     let now = shared.now();
     let started_ms = match announce::parse_deregistration(body) {
         Ok(started_ms) => started_ms,
         Err(error) => {
             log::warn!("engine: event=left engine={id} outcome=unreadable reason=\"{error}\"");
-            return;
+            return Ok(());
         }
     };
     let known = hear_end(shared, id, started_ms, now);
     log::info!("engine: event=left engine={id} born={started_ms:?} known={known}");
     shared.update_needed.notify(usize::MAX);
-    log_holders(shared, id, now);
+    if shared.state().directory.get(id).is_none() {
+        return Ok(());
+    }
+    await_holders(shared, id, now).await
 }
 
 fn hear(shared: &ProcessContext, announcement: EngineAnnouncement, now: Time) -> DirectoryUpdate {
@@ -86,14 +111,41 @@
     known
 }
 
-/// Logs how many peers hold the state of the engine `id` as it is acknowledged.
-fn log_holders(shared: &ProcessContext, id: &str, now: Time) {
-    let spread = shared.state().peers.spread(id, now);
-    log::info!(
-        "engine: event=held engine={id} outcome=acknowledged holders={} pending={}",
-        spread.holders,
-        spread.pending
-    );
+/// Waits until the peers that this process reaches hold the state of the engine `id`, which it
+/// has recorded at `since`.
+async fn await_holders(shared: &ProcessContext, id: &str, since: Time) -> Result<(), NotHeld> {
+    let deadline = since + HOLD_TIMEOUT;
+    let mut waits = false;
+    loop {
+        let listener = shared.peers_changed.listen();
+        let now = shared.now();
+        let (spread, is_alone) = {
+            let state = shared.state();
+            let is_alone = state.is_alone(&shared.own_member);
+            (state.peers.spread(id, now), is_alone)
+        };
+        if is_alone || spread.is_complete() && !waits {
+            return Ok(());
+        }
+        if spread.is_complete() || now >= deadline {
+            let is_held = spread.is_enough();
+            let waited = since.until(now);
+            shared.metrics.record_departure(waited, is_held);
+            log::info!(
+                "engine: event=held engine={id} outcome={} holders={} pending={} ms={}",
+                if is_held { "acknowledged" } else { "refused" },
+                spread.holders,
+                spread.pending,
+                waited.as_millis()
+            );
+            return if is_held { Ok(()) } else { Err(NotHeld) };
+        }
+        waits = true;
+        let tick = async {
+            Timer::after(now.until(deadline).into()).await;
+        };
+        listener.or(tick).await;
+    }
 }
 
 /// Applies what the process of a run, at an address, has told of engines.
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -200,6 +200,7 @@
     let is_urgent = state.peers.has_news(before);
     shared.record_config_version_in(state, applied.newest_version, now);
     drop(guard);
+    shared.peers_changed.notify(usize::MAX);
     evacuations::learn(shared, &applied.evacuations);
     if is_urgent {
         shared.update_needed.notify(usize::MAX);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,8 @@
 //! Request counters and latency histograms of a gateway.
 
+use std::time::Duration;
+
+use base::Span;
 use fleet::mesh::Update;
 use fleet::overlay::Links;
 use host::metrics::IntCounter;
@@ -25,6 +28,8 @@
     cold_engines: IntGauge,
     warm_up_requests: IntCounter,
     evacuated_domains: IntGauge,
+    departure_latency: Latency,
+    departures_refused: IntCounter,
     /// The version of the configuration in force.
     pub config_version: IntGauge,
     /// The updates between processes.
@@ -105,6 +110,14 @@
             cold_engines: metrics.gauge("engines_cold", "Usable engines that are cold"),
             warm_up_requests: counter("warm_up_requests", "Requests sent to cold engines"),
             evacuated_domains: metrics.gauge("evacuated_domains", "Evacuated failure domains"),
+            departure_latency: metrics.latency_histogram(
+                "departure_acknowledged_seconds",
+                "Time until peers held the news that an engine leaves",
+            ),
+            departures_refused: counter(
+                "departures_refused",
+                "News that an engine leaves that no peer confirmed in time",
+            ),
             config_version: metrics.gauge("config_version", "The configuration in force"),
             mesh: MeshMetrics::register(metrics),
             delay_ms: metrics.gauge("delay_ms", "How late timers run, in milliseconds"),
@@ -113,6 +126,16 @@
         }
     }
 
+    /// Records the news that an engine leaves; peers held it after `waited`, or not in time.
+    pub fn record_departure(&self, waited: Span, held: bool) {
+        if held {
+            let waited: Duration = waited.into();
+            self.departure_latency.observe(waited.as_secs_f64());
+        } else {
+            self.departures_refused.inc();
+        }
+    }
+
     /// Records a complete response; both times are in milliseconds.
     #[allow(clippy::cast_precision_loss)]
     pub fn record_answered(&self, first_ms: u64, total_ms: u64) {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -149,6 +149,8 @@
     pub grants_changed: Event,
     /// Notified when an update should be sent immediately.
     pub update_needed: Event,
+    /// Notified when a peer has told something or confirmed what it was told.
+    pub peers_changed: Event,
     /// Notified when peers should be told of a crashed engine.
     pub crash_news: Event,
     /// Notified when grants or marks are needed.
@@ -226,6 +228,11 @@
     base::hash::hasher().hash_one(address)
 }
 
+/// Returns whether the settings name no other process than `own`.
+fn is_alone(seeds: &[SocketAddrV4], own: &Member) -> bool {
+    seeds.iter().all(|seed| *seed.ip() == own.address.ip())
+}
+
 impl ProcessState {
     /// Returns the state of a process at its start.
     #[must_use]
@@ -355,6 +362,12 @@
         self.leader = found.map(|peer| peer.member.address);
     }
 
+    /// Returns whether the site has no other process, as far as this one knows.
+    #[must_use]
+    pub fn is_alone(&self, own: &Member) -> bool {
+        is_alone(&self.seeds, own) && self.peers.values().next().is_none()
+    }
+
     /// Returns the number of present entries, including this one.
     #[must_use]
     pub fn count_entries(&self, now: Time) -> usize {
@@ -394,6 +407,7 @@
             health: Health::default(),
             grants_changed: Event::new(),
             update_needed: Event::new(),
+            peers_changed: Event::new(),
             crash_news: Event::new(),
             grants_needed: Event::new(),
             tick: Event::new(),
