fleet: repeated announcements don't take the place of an engine's state

Seen: the acknowledgement of a departure could wait for an idle exchange, or be refused, because another process had told a repeated announcement of the same engine meanwhile. No caller was seen to be hurt.

Cause: the change of an engine's phase and a repeated announcement had one topic in the change log. The repeated one, which isn't urgent, replaced the first and had a new number that no link had confirmed.

Change: repeated announcements have a topic of their own. An update holds an engine once.

--- a/crates/fleet/src/changes.rs
+++ b/crates/fleet/src/changes.rs
@@ -27,8 +27,10 @@
     Load(SocketAddr, u64),
     /// A numbered prompt that a process has sent.
     Prompt(SocketAddr, u64),
-    /// The announcement of an engine.
+    /// The run, phase or address of an engine.
     Engine(String),
+    /// A repeated announcement of an engine.
+    Heartbeat(String),
 }
 
 /// How soon a change is told.
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -392,7 +392,7 @@
     fn record(&mut self, topic: Topic, urgency: Urgency, from: Option<u64>, now: Time) {
         let at_once = match topic {
             Topic::Head | Topic::Profile(_) | Topic::Ended(_) => true,
-            Topic::Load(..) | Topic::Prompt(..) | Topic::Engine(_) => {
+            Topic::Load(..) | Topic::Prompt(..) | Topic::Engine(_) | Topic::Heartbeat(_) => {
                 self.links.relays || self.links.is_full
             }
         };
@@ -461,7 +461,7 @@
         self.prompts.retain(|key, _| key.0 != address);
         self.log.retain(|change| match &change.topic {
             Topic::Profile(of) | Topic::Load(of, _) | Topic::Prompt(of, _) => *of != address,
-            Topic::Head | Topic::Ended(_) | Topic::Engine(_) => true,
+            Topic::Head | Topic::Ended(_) | Topic::Engine(_) | Topic::Heartbeat(_) => true,
         });
     }
 
--- a/crates/fleet/src/peers/build.rs
+++ b/crates/fleet/src/peers/build.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use base::Map;
+use base::Set;
 use base::Span;
 use base::Time;
 use routing::Directory;
@@ -47,6 +48,7 @@
             return update;
         };
         let mut loads: Map<u64, Vec<(u64, EngineLoad, u64)>> = Map::default();
+        let mut engines: Set<&str> = Set::default();
         for (position, change) in self.log.after(link.confirmed) {
             if !change.concerns(run) {
                 continue;
@@ -55,7 +57,15 @@
                 update.position = update.position.min(position - 1);
                 continue;
             }
-            self.add_change(&change.topic, directory, &mut update, &mut loads, now);
+            match &change.topic {
+                Topic::Engine(id) | Topic::Heartbeat(id) => {
+                    if engines.insert(id) {
+                        let told = engine_news(directory, id, now);
+                        update.announcements.extend(told);
+                    }
+                }
+                topic => self.add_change(topic, &mut update, &mut loads, now),
+            }
         }
         let loads = loads.into_iter();
         update.loads = loads
@@ -90,13 +100,11 @@
     fn add_change(
         &self,
         topic: &Topic,
-        directory: &Directory,
         update: &mut Update,
         loads: &mut Map<u64, Vec<(u64, EngineLoad, u64)>>,
         now: Time,
     ) {
         match topic {
-            Topic::Head => {}
             Topic::Profile(of) if *of == self.address() => update.profiles.push(self.own.clone()),
             Topic::Profile(of) => {
                 let peer = self.peers.get(of);
@@ -142,14 +150,16 @@
                     });
                 }
             }
-            Topic::Engine(id) => {
-                let engine = directory.get(id);
-                let engine = engine.map(|engine| ReceivedAnnouncement {
-                    announcement: engine.announcement.clone(),
-                    age_ms: engine.last_heard.until(now).as_millis(),
-                });
-                update.announcements.extend(engine);
-            }
+            Topic::Head | Topic::Engine(_) | Topic::Heartbeat(_) => {}
         }
     }
 }
+
+/// Returns what is known of the engine `id`.
+fn engine_news(directory: &Directory, id: &str, now: Time) -> Option<ReceivedAnnouncement> {
+    let engine = directory.get(id)?;
+    Some(ReceivedAnnouncement {
+        announcement: engine.announcement.clone(),
+        age_ms: engine.last_heard.until(now).as_millis(),
+    })
+}
--- a/crates/fleet/src/peers/engines.rs
+++ b/crates/fleet/src/peers/engines.rs
@@ -92,15 +92,24 @@
             DirectoryUpdate::Changed if !self.links.is_full || self.own.member.keeper.is_some() => {
                 self.record(Topic::Engine(id), Urgency::Now, Some(from), now);
             }
-            DirectoryUpdate::Refreshed if !self.links.is_full => {
-                self.record_heartbeat(id, Some(from), now);
+            DirectoryUpdate::Refreshed => {
+                self.log.record_known(&Topic::Engine(id.clone()), from);
+                if !self.links.is_full {
+                    self.record_heartbeat(id, Some(from), now);
+                }
+            }
+            DirectoryUpdate::Known => {
+                let present = directory.get(&id).map(|entry| &entry.announcement);
+                if present.is_some_and(|present| present.sequence == announcement.sequence) {
+                    self.log.record_known(&Topic::Heartbeat(id.clone()), from);
+                }
+                self.log.record_known(&Topic::Engine(id), from);
             }
-            DirectoryUpdate::Known => self.log.record_known(&Topic::Engine(id), from),
             DirectoryUpdate::Stale => {
                 let newer = directory.newer_than(&announcement);
                 self.correct(newer, from, now);
             }
-            DirectoryUpdate::Changed | DirectoryUpdate::Refreshed | DirectoryUpdate::Rejected => {}
+            DirectoryUpdate::Changed | DirectoryUpdate::Rejected => {}
         }
         update
     }
@@ -120,7 +129,7 @@
     }
 
     fn record_heartbeat(&mut self, id: String, from: Option<u64>, now: Time) {
-        self.record(Topic::Engine(id), Urgency::Lazy, from, now);
+        self.record(Topic::Heartbeat(id), Urgency::Lazy, from, now);
     }
 
     /// Records that the run of the engine `id` that began at `started_ms` has ended, as the
--- a/crates/fleet/src/peers/expiry.rs
+++ b/crates/fleet/src/peers/expiry.rs
@@ -42,7 +42,7 @@
         let ended = &self.ended;
         let prompts = &mut self.prompts;
         self.log.retain(|change| match &change.topic {
-            Topic::Head | Topic::Profile(_) | Topic::Engine(_) => true,
+            Topic::Head | Topic::Profile(_) | Topic::Engine(_) | Topic::Heartbeat(_) => true,
             Topic::Ended(run) => ended.contains_key(run),
             Topic::Load(of, engine) => {
                 let peer = peers.get(of);
@@ -66,7 +66,7 @@
     /// Removes the announcements of engines for which `keep` returns false.
     pub fn retain_engines(&mut self, keep: impl Fn(&str) -> bool) {
         self.log.retain(|change| match &change.topic {
-            Topic::Engine(id) => keep(id),
+            Topic::Engine(id) | Topic::Heartbeat(id) => keep(id),
             _ => true,
         });
     }
