fleet: every process passes on what it was told of departures

Seen by callers, without a network: an engine that has left is used by all processes but two. The one that was told reached only a process without a disk, which told nobody.

Cause: where all processes are linked, only replicas recorded what others had told of engines.

Change: every process records a change of an engine's state. Replicas and relays tell it at once, the others with the next exchange after the delay for bridges, to those that haven't told the same by then.

--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -392,9 +392,8 @@
     fn record(&mut self, topic: Topic, urgency: Urgency, from: Option<u64>, now: Time) {
         let at_once = match topic {
             Topic::Head | Topic::Profile(_) | Topic::Ended(_) => true,
-            Topic::Load(..) | Topic::Prompt(..) | Topic::Engine(_) | Topic::Heartbeat(_) => {
-                self.links.relays || self.links.is_full
-            }
+            Topic::Load(..) | Topic::Prompt(..) => self.links.relays || self.links.is_full,
+            Topic::Engine(_) | Topic::Heartbeat(_) => self.passes_on_at_once(),
         };
         let due = if from.is_none() || at_once {
             now
--- a/crates/fleet/src/peers/engines.rs
+++ b/crates/fleet/src/peers/engines.rs
@@ -1,7 +1,9 @@
 //! What processes tell each other of engines, and which of them hold it.
 //!
 //! The phase of an engine's run only advances, and a later run replaces an earlier one, so
-//! news may arrive late, twice and out of order.
+//! news may arrive late, twice and out of order. Every process keeps the last state of each
+//! engine for as long as the directory does, and tells it to each run of a peer that hasn't
+//! told or confirmed the same.
 
 use base::Span;
 use base::Time;
@@ -47,6 +49,13 @@
 }
 
 impl PeerTable {
+    /// Returns whether this process passes on at once what it learns of engines: relays do,
+    /// and replicas where all processes are linked. The others do after
+    /// [`crate::changes::BRIDGE_DELAY`], in case those have ended or are cut off.
+    pub(super) fn passes_on_at_once(&self) -> bool {
+        self.links.relays || self.links.is_full && self.own.member.keeper.is_some()
+    }
+
     /// Records that the state of the engine `id` has changed, as this process has found out.
     pub fn record_engine(&mut self, id: &str, now: Time) {
         let topic = Topic::Engine(id.to_owned());
@@ -87,10 +96,14 @@
         let at = Time(now.0.saturating_sub(Span::millis(heard.age_ms).0));
         let id = announcement.id.clone();
         let update = directory.apply_announcement(announcement.clone(), at);
-        // Without relays, only changes are passed on, by replicas.
         match update {
-            DirectoryUpdate::Changed if !self.links.is_full || self.own.member.keeper.is_some() => {
-                self.record(Topic::Engine(id), Urgency::Now, Some(from), now);
+            DirectoryUpdate::Changed => {
+                let urgency = if self.passes_on_at_once() || !self.links.is_full {
+                    Urgency::Now
+                } else {
+                    Urgency::Lazy
+                };
+                self.record(Topic::Engine(id), urgency, Some(from), now);
             }
             DirectoryUpdate::Refreshed => {
                 self.log.record_known(&Topic::Engine(id.clone()), from);
@@ -109,7 +122,7 @@
                 let newer = directory.newer_than(&announcement);
                 self.correct(newer, from, now);
             }
-            DirectoryUpdate::Changed | DirectoryUpdate::Rejected => {}
+            DirectoryUpdate::Rejected => {}
         }
         update
     }
--- a/crates/fleet/tests/departures.rs
+++ b/crates/fleet/tests/departures.rs
@@ -160,6 +160,8 @@
     late_heartbeats: BTreeMap<u64, Vec<(usize, EngineAnnouncement)>>,
     troubles: BTreeMap<u64, Vec<(usize, Trouble)>>,
     now: Time,
+    /// Pairs of processes that don't reach each other.
+    cut_pairs: BTreeSet<(usize, usize)>,
     /// Whether some heartbeats arrive late besides, at any process.
     is_late: bool,
     /// When a process was last killed right after an acknowledgement.
@@ -178,6 +180,7 @@
             late_heartbeats: BTreeMap::new(),
             troubles: BTreeMap::new(),
             now: Time(1),
+            cut_pairs: BTreeSet::new(),
             is_late: false,
             aimed: None,
             rng: Rng::with_seed(seed),
@@ -186,7 +189,8 @@
     }
 
     fn is_cut(&self, a: usize, b: usize) -> bool {
-        self.processes[a].is_cut || self.processes[b].is_cut
+        let pair = (a.min(b), a.max(b));
+        self.processes[a].is_cut || self.processes[b].is_cut || self.cut_pairs.contains(&pair)
     }
 
     /// Sends a message; it takes up to six steps, and a few are delivered twice.
@@ -652,6 +656,22 @@
     assert_unused(&fleet);
 }
 
+/// Guards against an engine that has left and is used by all but two processes: the one that
+/// was told reached only one without a disk, which told nobody.
+#[test]
+fn a_process_without_a_disk_passes_on_that_an_engine_has_left() {
+    let mut fleet = known_engine(9, 0);
+    let (told, reached) = (6, 7);
+    let others = (0..9).filter(|other| ![told, reached].contains(other));
+    fleet.cut_pairs = others
+        .map(|other| (other.min(told), other.max(told)))
+        .collect();
+    fleet.run(Span::secs(1));
+    end_engine(&mut fleet, told);
+    fleet.run(DRAIN);
+    assert_unused(&fleet);
+}
+
 /// Guards against an engine that has left and is used: it told so a process that didn't know
 /// its run, and an earlier heartbeat arrived later.
 #[test]
