fleet: the end of a run that isn't known is recorded and told

Seen by callers, without a network: an engine that has left is used by all. It told so a process that had not learned of it, and a heartbeat from before arrived later. The acknowledgement came with known=false, and nothing was recorded.

Cause: Directory::mark_gone knew only ends of recorded runs.

Change: the end of a run of an unknown engine is recorded without its address and told like any other; an end that peers tell changes nothing but run and phase. Where an earlier run of the engine is recorded, the process can't tell a writer of nonsense from an engine: it doesn't acknowledge that (503), so that a process that knows the run does. It records and answers nothing new on a site of one process (odd_deregistrations_end_no_sound_engine).

--- a/crates/fleet/src/peers/engines.rs
+++ b/crates/fleet/src/peers/engines.rs
@@ -148,7 +148,8 @@
     /// Records that the run of the engine `id` that began at `started_ms` has ended, as the
     /// engine has told this process; the run that is known here if it names none.
     ///
-    /// Returns whether that is new.
+    /// Returns false if the end isn't recorded: nothing tells which run has ended, or the run is
+    /// later than the one that is known here.
     pub fn hear_end(
         &mut self,
         directory: &mut Directory,
@@ -156,11 +157,10 @@
         started_ms: Option<u64>,
         now: Time,
     ) -> bool {
-        let is_new = directory.mark_gone(id, started_ms, now).is_some();
-        if is_new {
+        if directory.mark_gone(id, started_ms, now).is_some() {
             self.record_engine(id, now);
         }
-        is_new
+        directory.has_ended(id, started_ms)
     }
 
     /// Returns how many processes hold the present state of the engine `id`.
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -21,7 +21,8 @@
 use crate::state::ProcessContext;
 use crate::state::ProcessState;
 
-/// The news that an engine leaves isn't acknowledged: too few peers have confirmed it in time.
+/// The news that an engine leaves isn't acknowledged: too few peers have confirmed it in time,
+/// or its run isn't known here.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 #[error("no other process holds this yet")]
 pub struct NotHeld;
@@ -67,7 +68,8 @@
 ///
 /// # Errors
 ///
-/// Fails if too few peers confirm it in time.
+/// Fails if too few peers confirm it in time, or if the run isn't known here but an earlier one
+/// is, or if nothing tells which run it is: another process may know it.
 pub async fn end(shared: &Arc<ProcessContext>, id: &str, body: &[u8]) -> Result<(), NotHeld> {
     let now = shared.now();
     let started_ms = match announce::parse_deregistration(body) {
@@ -77,11 +79,11 @@
             return Ok(());
         }
     };
-    let known = hear_end(shared, id, started_ms, now);
+    let (known, recorded) = hear_end(shared, id, started_ms, now);
     log::info!("engine: event=left engine={id} born={started_ms:?} known={known}");
     shared.update_needed.notify(usize::MAX);
-    if shared.state().directory.get(id).is_none() {
-        return Ok(());
+    if !recorded && !shared.state().is_alone(&shared.own_member) {
+        return Err(NotHeld);
     }
     await_holders(shared, id, now).await
 }
@@ -98,17 +100,16 @@
     update
 }
 
-/// Returns whether the end of the engine's run is new here.
-fn hear_end(shared: &ProcessContext, id: &str, started_ms: Option<u64>, now: Time) -> bool {
+/// Returns whether the engine `id` was known, and whether the end of its run is recorded.
+fn hear_end(shared: &ProcessContext, id: &str, started_ms: Option<u64>, now: Time) -> (bool, bool) {
     let mut state = shared.state();
     let ProcessState {
         peers, directory, ..
     } = &mut *state;
-    let known = peers.hear_end(directory, id, started_ms, now);
-    if known {
-        state.update_engine_pools(shared, now);
-    }
-    known
+    let known = directory.get(id).is_some();
+    let recorded = peers.hear_end(directory, id, started_ms, now);
+    state.update_engine_pools(shared, now);
+    (known, recorded)
 }
 
 /// Waits until the peers that this process reaches hold the state of the engine `id`, which it
--- a/crates/routing/src/directory.rs
+++ b/crates/routing/src/directory.rs
@@ -10,6 +10,7 @@
 //! run drains from then on; only a later run is used again.
 
 use std::cmp;
+use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
 
 use base::Map;
@@ -112,6 +113,21 @@
     pub cold_until: Time,
 }
 
+/// Returns the announcement of the end of a run of which nothing else is known.
+fn end_of_unknown_run(id: &str, started_ms: u64) -> EngineAnnouncement {
+    EngineAnnouncement {
+        id: id.to_owned(),
+        started_ms,
+        sequence: 0,
+        service: String::new(),
+        address: SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0),
+        domain: String::new(),
+        slots: 0,
+        phase: Phase::Gone,
+        cold_ms: 0,
+    }
+}
+
 /// The known engines.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
@@ -139,6 +155,9 @@
         announcement: EngineAnnouncement,
         received_at: Time,
     ) -> DirectoryUpdate {
+        if announcement.phase == Phase::Gone {
+            return self.record_end(announcement, received_at);
+        }
         if self.superseding(&announcement).is_some() {
             return DirectoryUpdate::Stale;
         }
@@ -204,6 +223,37 @@
         }
     }
 
+    /// Records that a run has ended. The run may not be known here yet; its end is recorded all
+    /// the same, because its announcements may still be on their way.
+    fn record_end(&mut self, end: EngineAnnouncement, received_at: Time) -> DirectoryUpdate {
+        let is_full = self.engines.len() >= MAX_ENGINES;
+        let Some(known) = self.engines.get_mut(&end.id) else {
+            if is_full {
+                return DirectoryUpdate::Rejected;
+            }
+            let entry = DirectoryEntry {
+                announcement: end,
+                last_heard: received_at,
+                is_leaving: false,
+                cold_until: Time::default(),
+            };
+            self.engines.insert(entry.announcement.id.clone(), entry);
+            return DirectoryUpdate::Changed;
+        };
+        let recorded = &mut known.announcement;
+        let outcome =
+            match (end.started_ms, Phase::Gone).cmp(&(recorded.started_ms, recorded.phase)) {
+                cmp::Ordering::Less => return DirectoryUpdate::Stale,
+                cmp::Ordering::Equal => DirectoryUpdate::Known,
+                cmp::Ordering::Greater => DirectoryUpdate::Changed,
+            };
+        known.is_leaving &= recorded.started_ms == end.started_ms;
+        recorded.started_ms = end.started_ms;
+        recorded.phase = Phase::Gone;
+        known.last_heard = known.last_heard.max(received_at);
+        outcome
+    }
+
     /// Records that an answer of the run that sent `announcement` said that the engine
     /// leaves.
     ///
@@ -290,22 +340,37 @@
 
     /// Marks the engine `id` as gone; `started_ms` identifies the run where it is known.
     ///
-    /// Returns the announcement to send to the peers, or `None` where nothing changed.
+    /// Returns the announcement to send to the peers, or `None` where nothing changed: the run
+    /// is over here already, or it is later than the recorded one, which any writer can say of
+    /// a sound engine.
     pub fn mark_gone(
         &mut self,
         id: &str,
         started_ms: Option<u64>,
         now: Time,
     ) -> Option<EngineAnnouncement> {
-        let known = self.engines.get_mut(id)?;
-        if started_ms.is_some_and(|started_ms| started_ms != known.announcement.started_ms)
-            || known.announcement.phase == Phase::Gone
-        {
-            return None;
-        }
-        known.announcement.phase = Phase::Gone;
-        known.last_heard = now;
-        Some(known.announcement.clone())
+        let known = self.engines.get(id).map(|known| &known.announcement);
+        let end = match known {
+            Some(known) if started_ms.is_some_and(|ms| ms != known.started_ms) => return None,
+            Some(known) => EngineAnnouncement {
+                phase: Phase::Gone,
+                ..known.clone()
+            },
+            None => end_of_unknown_run(id, started_ms?),
+        };
+        let update = self.record_end(end.clone(), now);
+        (update == DirectoryUpdate::Changed).then_some(end)
+    }
+
+    /// Returns whether the run of the engine `id` that began at `started_ms`, or the recorded
+    /// one, is over here.
+    #[must_use]
+    pub fn has_ended(&self, id: &str, started_ms: Option<u64>) -> bool {
+        self.engines.get(id).is_some_and(|known| {
+            let known = &known.announcement;
+            let started_ms = started_ms.unwrap_or(known.started_ms);
+            (known.started_ms, known.phase) >= (started_ms, Phase::Gone)
+        })
     }
 
     /// Returns the engine `id`.
