gateway: a process that started or stood still asks before it uses engines

Cause: nothing told whether the knowledge of engines was current.

First attempts and retries wait for that, and a connection that was established meanwhile isn't used. A process that nobody answers goes on with what it knows; one without peers doesn't wait.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`overlay`]: which processes a process is linked to.
 //! - [`peers`]: the other processes, and the updates to them.
 //! - [`runtime`]: the adapter from the QUIC library to the worker pool.
+//! - [`view`]: whether what a process knows of engines may be acted on.
 //! - [`wire`]: messages between entries, agents, keepers and operators.
 
 pub mod changes;
@@ -22,6 +23,7 @@
 pub mod overlay;
 pub mod peers;
 pub mod runtime;
+pub mod view;
 pub mod wire;
 
 pub use crate::credentials::TlsCredentials;
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -82,6 +82,8 @@
     last_exchange: Option<Time>,
     /// Time of the last request from it.
     asked: Option<Time>,
+    /// When the last exchange began that it answered.
+    answered: Option<Time>,
     heard_sent: Option<Time>,
 }
 
--- a/crates/fleet/src/peers/engines.rs
+++ b/crates/fleet/src/peers/engines.rs
@@ -194,4 +194,15 @@
         let is_linked = self.links.paces.contains_key(&peer.member.address);
         (is_linked || schedule::asks(peer, now)) && peer.is_usable(now) && peer.is_reachable(now)
     }
+
+    /// Returns whether each peer that this process is linked to has answered an exchange that
+    /// began at `since` or later, but for those that don't answer; false without such a peer.
+    #[must_use]
+    pub fn has_asked(&self, since: Time) -> bool {
+        let linked = self.links.paces.keys();
+        let linked = linked.filter_map(|address| self.peers.get(address));
+        let answered = |peer: &Peer| peer.link.answered.is_some_and(|at| at >= since);
+        let (asked, open): (Vec<&Peer>, Vec<&Peer>) = linked.partition(|peer| answered(peer));
+        !asked.is_empty() && open.iter().all(|peer| peer.link.silent)
+    }
 }
--- a/crates/fleet/src/peers/schedule.rs
+++ b/crates/fleet/src/peers/schedule.rs
@@ -64,8 +64,10 @@
     /// Records the end of an exchange that this process began.
     pub fn finish_exchange(&mut self, address: SocketAddr, answered: bool, now: Time) {
         if let Some(peer) = self.peers.get_mut(&address) {
-            peer.link.in_flight = None;
-            if !answered {
+            let begun = peer.link.in_flight.take();
+            if answered {
+                peer.link.answered = peer.link.answered.max(begun);
+            } else {
                 peer.link.last_exchange = Some(now);
                 peer.link.silent = true;
                 self.links_computed = None;
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -373,6 +373,7 @@
             if is_retry && !self.acquire_retry() {
                 return self.finish_unanswered(error_response, caller).await;
             }
+            self.await_view().await;
             let selected = if is_retry {
                 self.select_retry_engine()
             } else {
--- a/crates/gateway/src/forwarding/availability.rs
+++ b/crates/gateway/src/forwarding/availability.rs
@@ -3,8 +3,10 @@
 
 use std::borrow::Cow;
 
+use async_io::Timer;
 use base::Span;
 use base::Time;
+use futures_lite::FutureExt as _;
 use http::ResponseHead;
 use platform::headers;
 use routing::Availability;
@@ -96,14 +98,33 @@
         Cow::Owned(self.tried_engines.iter().copied().chain(outside).collect())
     }
 
+    /// Waits while this process may have missed that engines have left, until the deadline at
+    /// most.
+    pub(super) async fn await_view(&self) {
+        let settled = async {
+            loop {
+                let listener = self.shared.view_settled.listen();
+                if self.shared.state().view.is_current(self.shared.now()) {
+                    return;
+                }
+                listener.await;
+            }
+        };
+        let late = async {
+            Timer::after(self.remaining().into()).await;
+        };
+        settled.or(late).await;
+    }
+
     /// Returns whether the engine `key` still takes requests; logs it if not.
     pub(super) fn accepts_request(&self, key: u64, engine: &EngineAnnouncement) -> bool {
         let now = self.shared.now();
         let state = self.shared.state();
         let pool = state.engine_pools.get(self.service);
         let availability = pool.map(|pool| pool.availability(key, now));
+        let is_current = state.view.is_current(now);
         drop(state);
-        let accepts = availability.is_some_and(Availability::allows_requests);
+        let accepts = is_current && availability.is_some_and(Availability::allows_requests);
         if !accepts {
             log::info!(
                 "request: id={} event=moved engine={} state={}",
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -17,6 +17,7 @@
 use fleet::peers::Applied;
 use fleet::peers::PEER_TIMEOUT;
 use fleet::peers::UPDATE_TIMEOUT;
+use fleet::view::MAX_ROUND_GAP;
 use futures_lite::FutureExt as _;
 use routing::placement::EnginePool;
 
@@ -53,10 +54,6 @@
 /// Maximum wait for the leader's response to a request forwarded for another process.
 const FORWARDED_REQUEST_TIMEOUT: Span = Span::millis(300);
 
-/// Gap between two rounds of updates above which it is logged: the process was
-/// suspended or very slow.
-const MAX_ROUND_GAP: Span = Span::millis(1_000);
-
 /// Time between two log lines with the memory in use.
 const MEMORY_LOG_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -254,17 +251,15 @@
 
 /// Sends updates to peers until the process ends.
 pub async fn send_updates(shared: Arc<ProcessContext>) {
-    let mut last = shared.now();
     let mut maintained = Time(0);
     let mut ticked = Time(0);
     loop {
         let listener = shared.update_needed.listen();
         let now = shared.now();
-        let gap = last.until(now);
+        let gap = shared.state().view.begin_round(now);
         if gap > MAX_ROUND_GAP {
             log::warn!("gateway: event=woke gap_ms={}", gap.as_millis());
         }
-        last = now;
         choose_founder(&shared, now);
         let active = start_exchanges(&shared, now);
         if maintained.until(now) >= MAINTENANCE_INTERVAL {
@@ -301,6 +296,7 @@
 fn start_exchanges(shared: &Arc<ProcessContext>, now: Time) -> bool {
     let mut state = shared.state();
     describe_self(shared, &mut state, now);
+    settle_view(shared, &mut state, now);
     let seeds = state.seeds.iter().map(|&seed| mesh_address(shared, seed));
     let seeds: Vec<SocketAddr> = seeds.collect();
     for address in state.peers.due(&seeds, now) {
@@ -322,7 +318,18 @@
         apply_update(shared, *update, false);
     }
     let now = shared.now();
-    shared.state().peers.finish_exchange(address, answered, now);
+    let mut state = shared.state();
+    state.peers.finish_exchange(address, answered, now);
+    settle_view(shared, &mut state, now);
+}
+
+/// Lets requests that wait for a current view go on once it is current.
+fn settle_view(shared: &ProcessContext, state: &mut ProcessState, now: Time) {
+    let ProcessState { view, peers, .. } = state;
+    if view.settle(peers, now) {
+        log::info!("gateway: event=view_current");
+        shared.view_settled.notify(usize::MAX);
+    }
 }
 
 /// Logs the memory in use regularly, as reported by the operating system in pages.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -32,6 +32,7 @@
 use fleet::peers::PEER_TIMEOUT;
 use fleet::peers::Peer;
 use fleet::peers::PeerTable;
+use fleet::view::View;
 use host::Health;
 use host::Pool;
 use host::metrics::Metrics;
@@ -112,6 +113,8 @@
     pub crash_suspects: CrashSuspects,
     /// The other processes.
     pub peers: PeerTable,
+    /// Whether what the process knows of engines may be acted on.
+    pub view: View,
     /// Prompts sent since the last update.
     pub sent_prompts: Vec<SentPrompt>,
     /// The address of the group's leader.
@@ -151,6 +154,8 @@
     pub update_needed: Event,
     /// Notified when a peer has told something or confirmed what it was told.
     pub peers_changed: Event,
+    /// Notified when the view of a process that has started or stood still is current again.
+    pub view_settled: Event,
     /// Notified when peers should be told of a crashed engine.
     pub crash_news: Event,
     /// Notified when grants or marks are needed.
@@ -258,6 +263,7 @@
             }),
             crash_suspects: CrashSuspects::default(),
             peers: PeerTable::new(own.clone()),
+            view: View::open(is_alone(&settings.seeds, own), Time::default()),
             sent_prompts: Vec::new(),
             leader: None,
             leading_replica: None,
@@ -408,6 +414,7 @@
             grants_changed: Event::new(),
             update_needed: Event::new(),
             peers_changed: Event::new(),
+            view_settled: Event::new(),
             crash_news: Event::new(),
             grants_needed: Event::new(),
             tick: Event::new(),
