gateway: a witness keeps the fence of a closed lease

A team could overspend: an entry that reaches a witness but not the leader opens grants of a lease that was closed and counted as settled.

Evidence: closed_leases_stay_fenced_after_a_checkpoint failed before, in memory already.

Change: a checkpoint drops the marks of a closed lease and keeps its fence, if the lease was fenced here. It grows by a few bytes for each lease that this witness helped to settle; those that others settled are dropped as before.

Measured: the test passes, and so does the one that bounds the checkpoint.

--- a/crates/gateway/src/witness_log.rs
+++ b/crates/gateway/src/witness_log.rs
@@ -124,8 +124,9 @@
         Ok(opened.unwrap_or_default().into_iter().collect())
     }
 
-    /// Makes appended records durable. The next checkpoint drops leases that are `closed`:
-    /// nobody asks for their marks again.
+    /// Makes appended records durable. The next checkpoint drops the marks of leases that are
+    /// `closed`: nobody asks for them again. The fences stay, because their entries may not
+    /// know yet that they are closed.
     ///
     /// # Errors
     ///
@@ -134,7 +135,12 @@
         self.journal.sync()?;
         let is_long = self.record_count >= MAX_JOURNAL_RECORDS;
         if is_long || self.journal.size_bytes() >= self.max_bytes {
-            self.leases.retain(|&lease, _| !closed(lease));
+            self.leases.retain(|&lease, record| {
+                if closed(lease) {
+                    record.limits = Map::default();
+                }
+                record.is_fenced || !closed(lease)
+            });
             self.checkpoint()?;
         }
         Ok(())
--- a/crates/gateway/tests/bounds.rs
+++ b/crates/gateway/tests/bounds.rs
@@ -78,3 +78,33 @@
     assert!(kept.len() < 1_000, "{} bytes", kept.len());
     let _ = fs::remove_dir_all(&folder);
 }
+
+/// Guards against an entry that spends tokens of a closed lease: the witness that had fenced
+/// it accepted its marks again after a checkpoint.
+#[test]
+fn closed_leases_stay_fenced_after_a_checkpoint() {
+    let folder = std::env::temp_dir().join(format!("witness-fenced-{}", process::id()));
+    let _ = fs::remove_dir_all(&folder);
+    let options = JournalOptions {
+        segment_bytes: 16 << 10,
+        quota_bytes: 64 << 10,
+        fsync: false,
+    };
+    let mark = |lease| HighWaterMark {
+        lease,
+        limits: vec![("team".to_owned(), 50)],
+    };
+    let mut log = WitnessLog::open(&folder, options).expect("opened");
+    assert!(log.record_mark(&mark(7)).expect("recorded"));
+    assert_eq!(log.fence(7).expect("fenced"), [("team".to_owned(), 50)]);
+    // Enough records of another lease for a checkpoint.
+    for _ in 0..5_000 {
+        assert!(log.record_mark(&mark(8)).expect("recorded"));
+        log.sync(|closed| closed == 7).expect("synced");
+    }
+    assert!(!log.record_mark(&mark(7)).expect("answered"), "in memory");
+    drop(log);
+    let mut log = WitnessLog::open(&folder, options).expect("opened");
+    assert!(!log.record_mark(&mark(7)).expect("answered"), "on disk");
+    let _ = fs::remove_dir_all(&folder);
+}
