--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -237,6 +237,11 @@
                 };
                 return Ok(Response { head, body });
             }
+            if head.switches_protocol() {
+                return Err(EngineError::BrokenStream(
+                    "a switch of protocols".to_owned(),
+                ));
+            }
             interim_responses += 1;
             if interim_responses > MAX_INTERIM_RESPONSES {
                 return Err(EngineError::TooLong);
--- a/crates/gateway/src/forwarding/answer.rs
+++ b/crates/gateway/src/forwarding/answer.rs
@@ -61,7 +61,7 @@
                 return Ok(head);
             }
             interim_responses += 1;
-            if interim_responses > MAX_INTERIM_RESPONSES {
+            if interim_responses > MAX_INTERIM_RESPONSES || head.switches_protocol() {
                 return Err(AnswerError::Malformed);
             }
             continue;
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -14,6 +14,9 @@
 /// The status codes of a response; all others are invalid (RFC 9110, section 15).
 const STATUS_CODES: Range<u16> = 100..600;
 
+/// The status of a switch to another protocol.
+const SWITCHING_PROTOCOLS: u16 = 101;
+
 /// Hop-by-hop headers, which are not forwarded.
 const HOP_BY_HOP_HEADERS: [&str; 9] = [
     "connection",
@@ -243,6 +246,13 @@
 }
 
 impl ResponseHead {
+    /// Returns whether the connection goes on in another protocol, so that no answer follows.
+    /// No request here asks for that (RFC 9110, section 15.2.2).
+    #[must_use]
+    pub fn switches_protocol(&self) -> bool {
+        self.status == SWITCHING_PROTOCOLS
+    }
+
     /// Parses the head at the start of `bytes`; returns it with its length in bytes, or
     /// `None` if more bytes are needed.
     ///
--- a/crates/service/tests/faulty.rs
+++ b/crates/service/tests/faulty.rs
@@ -84,6 +84,16 @@
     assert!(call(address, TIMEOUT).is_err(), "nothing shows its end");
 }
 
+/// Guards against bytes of another protocol that are read as the answer: nothing in a request
+/// asks for one.
+#[test]
+fn nothing_that_follows_a_switch_of_protocols_is_an_answer() {
+    let switch = "HTTP/1.1 101 Switching Protocols\r\n\r\n";
+    let answer = format!("{switch}{OK}Content-Length: 4\r\n\r\nokay");
+    let result = call(service(answer, "", Duration::ZERO), TIMEOUT);
+    assert!(result.is_err(), "{result:?}");
+}
+
 /// A body without a length that ends with a reset isn't whole, whether the reset comes after
 /// the request was sent or while it is being sent.
 #[test]
