soak: an engine that deregisters, and answers that links hold back

It is a breach if a request reaches it through a process that wasn't disturbed for 3 s, 2 s after the acknowledgement.

The check of Retry-After was wrong in one case: an answer that the link holds back tells the process nothing.

--- a/crates/soak/src/departures.rs
+++ b/crates/soak/src/departures.rs
@@ -9,6 +9,10 @@
 /// Time after which a process that passed on a leaving engine's answer sends it nothing.
 pub const DRAIN_MS: u64 = 2_000;
 
+/// Time for which a process must not have been disturbed before it sends a request that counts
+/// after an acknowledged deregistration.
+pub const CALM_MS: u64 = 3_000;
+
 /// Time for a process to act on a `Retry-After`.
 pub const REACTION_MS: u64 = 500;
 
@@ -28,6 +32,12 @@
     /// When a process passed on the first answer of a leaving engine.
     leaving: BTreeMap<Pair, u64>,
     holds: BTreeMap<Pair, Hold>,
+    /// When any process has acknowledged that an engine has ended.
+    deregistered: BTreeMap<String, u64>,
+    /// Engines whose link delays or loses answers.
+    faulty_links: BTreeSet<String>,
+    /// When a process was disturbed last.
+    disturbed: BTreeMap<usize, u64>,
     reported: BTreeSet<Pair>,
 }
 
@@ -62,7 +72,8 @@
     /// Records that an engine turned a request away and wants nothing from its process for
     /// `span_ms`.
     pub fn turn_away(&mut self, id: &str, engine: &str, span_ms: u64, now_ms: u64) {
-        if let Some(&(process, _)) = self.sent.get(id) {
+        let arrives = !self.faulty_links.contains(engine);
+        if let Some(&(process, _)) = self.sent.get(id).filter(|_| arrives) {
             let hold = Hold {
                 from_ms: now_ms + REACTION_MS,
                 end_ms: now_ms + span_ms,
@@ -82,6 +93,13 @@
             let text = format!("drain: {id} reaches {engine} through process {process}");
             return self.reported.insert(pair).then_some(text);
         }
+        let ended = self.deregistered.get(engine).map(|at| at + DRAIN_MS);
+        let calm = self.disturbed.get(&process).map_or(0, |at| at + CALM_MS);
+        if ended.is_some_and(|at| sent_ms > at.max(calm)) {
+            let text =
+                format!("drain: {id} reaches {engine}, which has ended, through process {process}");
+            return self.reported.insert(pair).then_some(text);
+        }
         let hold = self.holds.get_mut(&pair)?;
         if (hold.from_ms..hold.end_ms).contains(&now_ms) {
             hold.arrivals += 1;
@@ -94,14 +112,31 @@
         None
     }
 
-    /// Forgets what a process knew: it was restarted, suspended or cut off.
-    pub fn disturb(&mut self, process: usize) {
+    /// Records that a process has acknowledged that an engine has ended; all must know it then.
+    pub fn deregister(&mut self, engine: &str, now_ms: u64) {
+        self.deregistered.insert(engine.to_owned(), now_ms);
+    }
+
+    /// Forgets what answers have told a process: it was restarted, suspended or cut off.
+    pub fn disturb(&mut self, process: usize, now_ms: u64) {
+        self.disturbed.insert(process, now_ms);
         self.leaving.retain(|(other, _), _| *other != process);
         self.holds.retain(|(other, _), _| *other != process);
     }
 
+    /// Records whether answers of an engine arrive. What is on its way when they stop may be lost.
+    pub fn set_link(&mut self, engine: &str, is_sound: bool) {
+        if is_sound {
+            self.faulty_links.remove(engine);
+        } else {
+            self.faulty_links.insert(engine.to_owned());
+            self.holds.retain(|(_, other), _| other != engine);
+        }
+    }
+
     /// Forgets an engine: it has started again.
     pub fn restart(&mut self, engine: &str) {
+        self.deregistered.remove(engine);
         self.answered.retain(|_, other| other != engine);
         self.leaving.retain(|(_, other), _| other != engine);
         self.holds.retain(|(_, other), _| other != engine);
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -113,7 +113,17 @@
 
     /// Records that a process is killed, stopped, suspended or started.
     pub fn record_disturbance(&self, process: usize) {
-        self.departures().disturb(process);
+        self.departures().disturb(process, self.now_ms());
+    }
+
+    /// Records that a process has acknowledged that an engine has ended.
+    pub fn record_deregistered(&self, engine: &str) {
+        self.departures().deregister(engine, self.now_ms());
+    }
+
+    /// Records whether the link to an engine forwards its answers.
+    pub fn record_link(&self, engine: &str, is_sound: bool) {
+        self.departures().set_link(engine, is_sound);
     }
 
     /// Records that an engine starts again.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -45,6 +45,9 @@
 /// Time for which callers continue after the last fault has ended.
 const FINAL_TRAFFIC_TIME: Duration = Duration::from_millis(500);
 
+/// The engine that deregisters again and again, if engines depart.
+const DEREGISTERING_ENGINE: usize = 1;
+
 /// Settings of a run.
 #[derive(Clone, Debug)]
 pub struct RunSettings {
@@ -58,7 +61,8 @@
     pub daemon_path: PathBuf,
     /// Directory for files; kept if an invariant was broken.
     pub folder: PathBuf,
-    /// Whether an engine leaves again and again, and another one asks for pauses.
+    /// Whether engines leave again and again, one that says so in its answers and one that
+    /// deregisters, and another one asks for pauses.
     pub departures: bool,
     /// Whether planned operations also come in series that overlap.
     pub series: bool,
@@ -153,6 +157,10 @@
     })
 }
 
+fn engine_id(number: usize) -> String {
+    format!("engine-{number}")
+}
+
 pub(crate) fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
@@ -182,7 +190,7 @@
         for number in 0..ENGINE_COUNT {
             // Two engines serve the streaming route, one each other route.
             let route = ROUTES[number.saturating_sub(1)];
-            let id = format!("engine-{number}");
+            let id = engine_id(number);
             let faulty = !plan::is_planned_only(settings.seed);
             let conduct = match number {
                 0 if settings.departures => Conduct::Leaves,
@@ -209,6 +217,13 @@
         for index in 0..count {
             cluster.start_process(index, true)?;
         }
+        if settings.departures {
+            let (engine, lifetime) = engines.remove(DEREGISTERING_ENGINE);
+            let (addresses, oracle) = (cluster.control_addresses(), Arc::clone(&cluster.oracle));
+            let finished = &cluster.finished;
+            let seed = settings.seed;
+            setup::spawn_deregistrations(engine, lifetime, addresses, oracle, seed, finished);
+        }
         setup::spawn_announcer(engines, cluster.control_addresses(), &cluster.finished);
         if !cluster.submit_config(false) {
             return Err(SoakError::Unconfigured(settings.folder.clone()));
@@ -330,6 +345,7 @@
                 self.processes[index].signal(Signal::HUP);
             }
             Fault::Link(engine, link, ms) => {
+                self.oracle.record_link(&engine_id(engine), false);
                 self.proxies[engine].set_mode(link);
                 self.link_resets[engine] = Some(after(ms));
             }
@@ -370,9 +386,11 @@
             }
             self.recoveries[index] = None;
         }
-        for (proxy, deadline) in self.proxies.iter().zip(&mut self.link_resets) {
+        let links = self.proxies.iter().zip(&mut self.link_resets);
+        for (number, (proxy, deadline)) in links.enumerate() {
             if deadline.is_some_and(|deadline| now >= deadline) {
                 proxy.set_mode(LinkMode::Open);
+                self.oracle.record_link(&engine_id(number), true);
                 *deadline = None;
             }
         }
--- a/crates/soak/src/setup.rs
+++ b/crates/soak/src/setup.rs
@@ -12,17 +12,27 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use fastrand::Rng;
 use platform::test_support;
 use routing::directory::EngineAnnouncement;
 use routing::directory::Phase;
 
 use crate::caller;
 use crate::engine::Lifetime;
+use crate::oracle::Oracle;
 use crate::run::millis;
 
 /// Interval between two announcements of an engine.
 const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Number of announcements before an engine deregisters.
+const ANNOUNCED_ROUNDS: u32 = 6;
+
+/// Time for which an engine goes on answering after it has deregistered, and within which a
+/// heartbeat may arrive late, in milliseconds.
+const LINGER_MS: u64 = 9_000;
+const LATENESS_MS: u64 = 3_000;
+
 /// Returns the first of `count` consecutive ports that are free on loopback.
 #[must_use]
 pub fn find_free_ports(count: u16) -> u16 {
@@ -73,6 +83,54 @@
     });
 }
 
+/// Announces an engine that ends again and again until `finished` is set: it deregisters, goes on
+/// answering, and starts again under its identifier. Meanwhile a heartbeat arrives late.
+pub fn spawn_deregistrations(
+    mut engine: EngineAnnouncement,
+    lifetime: Arc<Lifetime>,
+    addresses: Vec<SocketAddrV4>,
+    oracle: Arc<Oracle>,
+    seed: u64,
+    finished: &Arc<AtomicBool>,
+) {
+    let finished = Arc::clone(finished);
+    let mut rng = Rng::with_seed(seed);
+    let post = |to, (path, body): (String, String)| {
+        let answer = caller::control_request(to, "POST", &path, body.as_bytes());
+        matches!(answer, Some((200, _)))
+    };
+    thread::spawn(move || {
+        while !finished.load(Ordering::Relaxed) {
+            for _ in 0..ANNOUNCED_ROUNDS {
+                engine.sequence += 1;
+                let beat = test_support::heartbeat(&engine);
+                let first = rng.usize(..addresses.len());
+                let mut order =
+                    (0..addresses.len()).map(|n| addresses[(first + n) % addresses.len()]);
+                order.any(|to| post(to, beat.clone()));
+                thread::sleep(ANNOUNCEMENT_INTERVAL);
+            }
+            engine.sequence += 1;
+            let late = test_support::heartbeat(&engine);
+            let first = rng.usize(..addresses.len());
+            let mut order = (0..addresses.len()).map(|n| addresses[(first + n) % addresses.len()]);
+            let told = order.find(|&to| post(to, test_support::deregistration(&engine)));
+            if told.is_some() {
+                oracle.record_deregistered(&engine.id);
+            }
+            let late_ms = rng.u64(200..LATENESS_MS);
+            thread::sleep(Duration::from_millis(late_ms));
+            let other = addresses[rng.usize(..addresses.len())];
+            post(told.filter(|_| rng.bool()).unwrap_or(other), late);
+            thread::sleep(Duration::from_millis(LINGER_MS - late_ms));
+            oracle.record_engine_start(&engine.id);
+            lifetime.restarts.fetch_add(1, Ordering::Relaxed);
+            engine.started_ms = now_ms();
+            engine.sequence = 0;
+        }
+    });
+}
+
 /// Returns the first announcement of an engine.
 #[must_use]
 pub fn announcement(id: &str, service: &str, address: SocketAddrV4) -> EngineAnnouncement {
