mulberryd: departures at moments drawn from a seed

Kills, freezes, restarts and late heartbeats around four departures: one or two gateways, at most one of them with a disk, before the departure, or after it the gateway that was told and another one.

--- a/crates/mulberryd/tests/departures.rs
+++ b/crates/mulberryd/tests/departures.rs
@@ -8,6 +8,7 @@
 use std::thread;
 use std::time::Duration;
 
+use fastrand::Rng;
 use platform::test_support;
 use routing::directory::EngineAnnouncement;
 use rustix::process::Signal;
@@ -26,6 +27,9 @@
 const AVAILABLE: &str = "mulberrytally_engines_available 1";
 const ENDED: &str = "mulberrytally_engines_ended 1";
 
+/// Number of departures in a series.
+const DEPARTURES: usize = 4;
+
 /// Time after which other gateways have stopped sending to one that doesn't answer, so that
 /// nothing waits in its socket.
 const SILENCE: Duration = Duration::from_millis(2_500);
@@ -111,7 +115,11 @@
             thread::sleep(POLL_INTERVAL);
             self.shows(index, line)
         });
-        assert!(shown, "{line} at {}", self.addresses[index]);
+        assert!(
+            shown,
+            "{line} at gateway {index}, {}",
+            self.folder.display()
+        );
     }
 }
 
@@ -196,3 +204,100 @@
     }
     assert!(site.shows(1, ENDED), "it is used again");
 }
+
+/// What happens to a gateway around a departure.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Trouble {
+    Kill,
+    Freeze,
+}
+
+/// Disturbs and restores gateways around one departure, drawn from `rng`. At most one of them
+/// has a disk.
+fn depart(site: &mut Site, rng: &mut Rng) {
+    let pause = |rng: &mut Rng, max_ms| thread::sleep(Duration::from_millis(rng.u64(..max_ms)));
+    let mut chosen = vec![rng.usize(..3), 3 + rng.usize(..2)];
+    rng.shuffle(&mut chosen);
+    chosen.truncate(rng.usize(1..=2));
+    let late = test_support::heartbeat(&site.engine);
+    site.engine.sequence += 1;
+    let mut troubles = Vec::new();
+    for &index in &chosen {
+        let trouble = [Trouble::Kill, Trouble::Freeze][rng.usize(..2)];
+        // A heartbeat that is told to nobody yet.
+        if rng.bool() {
+            site.beat(index);
+        }
+        troubles.push((index, trouble));
+    }
+    let calm: Vec<usize> = (0..usize::from(GATEWAYS))
+        .filter(|n| !chosen.contains(n))
+        .collect();
+    let is_before = rng.bool();
+    let told = if is_before {
+        calm[rng.usize(..calm.len())]
+    } else {
+        chosen[0]
+    };
+    let disturb = |site: &mut Site, rng: &mut Rng| {
+        for &(index, trouble) in &troubles {
+            pause(rng, 60);
+            match trouble {
+                Trouble::Kill => site.gateways[index].kill(),
+                Trouble::Freeze => site.gateways[index].signal(Signal::STOP),
+            }
+        }
+    };
+    if is_before {
+        disturb(site, rng);
+        pause(rng, 3_000);
+    }
+    let mut order = vec![told];
+    order.extend(&calm);
+    let acknowledged = (0..MAX_POLLS).any(|n| {
+        let to = order[n as usize % order.len()];
+        site.deregister(to) == Some(200)
+    });
+    assert!(acknowledged, "nobody acknowledges the departure");
+    if !is_before {
+        disturb(site, rng);
+    }
+    pause(rng, 2_000);
+    for (index, trouble) in troubles {
+        match trouble {
+            Trouble::Kill => site.start_gateway(index, false),
+            Trouble::Freeze => site.gateways[index].signal(Signal::CONT),
+        }
+    }
+    pause(rng, 1_000);
+    for index in chosen {
+        site.post(index, late.clone());
+    }
+}
+
+/// Guards against engines that have left and are used again: kills, freezes, restarts and late
+/// heartbeats at moments, and at gateways, drawn from a seed.
+#[test]
+fn engines_that_have_left_stay_left_at_moments_drawn_from_a_seed() {
+    let seed = std::env::var("SEED")
+        .ok()
+        .and_then(|text| text.parse().ok());
+    let seed = seed.unwrap_or(7);
+    let mut rng = Rng::with_seed(seed);
+    let mut site = Site::start(&format!("series-{seed}"));
+    for departure in 1..=DEPARTURES {
+        depart(&mut site, &mut rng);
+        for index in 0..usize::from(GATEWAYS) {
+            site.wait_for(index, &format!("mulberrytally_engines_ended {departure}"));
+        }
+        site.engine = setup::announcement(&format!("e{departure}"), "list", site.engine.address);
+        for index in 0..usize::from(GATEWAYS) {
+            // A gateway that has restarted counts engines once it has the configuration.
+            site.wait_for(index, "mulberrytally_config_version 1");
+            assert!(site.beat(index), "gateway {index}");
+        }
+        for index in 0..usize::from(GATEWAYS) {
+            site.wait_for(index, AVAILABLE);
+        }
+    }
+}
