fleet: departures are confirmed without waiting for an idle exchange

A change that isn't due yet, as each process without a disk keeps for 600 ms of what it was told, had its number in the log, and what a link confirms ends before such a number. And a change that went out in a response is confirmed by the next exchange, which may be an idle one.

Change: changes that aren't due are kept apart and numbered when they are due. A link that was sent a change of an engine's state in a response is asked at once.

--- a/crates/fleet/src/changes.rs
+++ b/crates/fleet/src/changes.rs
@@ -68,12 +68,15 @@
     }
 }
 
-/// The latest change of each topic, in the order in which they were learned.
+/// The latest change of each topic, in the order in which they may be passed on.
+///
+/// A change that isn't due yet has no number: it would hold back what links confirm.
 #[derive(Clone, Debug, Default)]
 pub struct ChangeLog {
     position: u64,
     positions: Map<Topic, u64>,
     changes: BTreeMap<u64, Change>,
+    deferred: Map<Topic, Change>,
 }
 
 impl ChangeLog {
@@ -83,8 +86,17 @@
         self.position
     }
 
-    /// Records a change, which replaces earlier ones of its topic.
-    pub fn record(&mut self, change: Change) {
+    /// Records a change, which replaces earlier ones of its topic. One that isn't due at `now` is
+    /// numbered by [`Self::release`].
+    pub fn record(&mut self, change: Change, now: Time) {
+        if change.due > now {
+            if let Some(old) = self.positions.remove(&change.topic) {
+                self.changes.remove(&old);
+            }
+            self.deferred.insert(change.topic.clone(), change);
+            return;
+        }
+        self.deferred.remove(&change.topic);
         self.position += 1;
         if let Some(old) = self.positions.insert(change.topic.clone(), self.position) {
             self.changes.remove(&old);
@@ -92,18 +104,35 @@
         self.changes.insert(self.position, change);
     }
 
+    /// Numbers the changes that have become due, in the order in which they were learned.
+    pub fn release(&mut self, now: Time) {
+        let due = self.deferred.extract_if(|_, change| change.due <= now);
+        let mut due: Vec<Change> = due.map(|(_, change)| change).collect();
+        due.sort_by_key(|change| change.due);
+        for change in due {
+            self.record(change, now);
+        }
+    }
+
+    /// Numbers the change of `topic` if it isn't due yet.
+    pub fn release_topic(&mut self, topic: &Topic, now: Time) {
+        if let Some(change) = self.deferred.remove(topic) {
+            self.record(Change { due: now, ..change }, now);
+        }
+    }
+
     /// Records that the process of `run` has told the present value of `topic`.
     pub fn record_known(&mut self, topic: &Topic, run: u64) {
         let position = self.positions.get(topic);
         let change = position.and_then(|position| self.changes.get_mut(position));
-        if let Some(change) = change
+        if let Some(change) = change.or(self.deferred.get_mut(topic))
             && !change.known_by.contains(&run)
         {
             change.known_by.push(run);
         }
     }
 
-    /// Returns the latest change of `topic` with its number.
+    /// Returns the latest change of `topic` with its number, if it has one.
     #[must_use]
     pub fn get(&self, topic: &Topic) -> Option<(u64, &Change)> {
         let position = *self.positions.get(topic)?;
@@ -112,6 +141,7 @@
 
     /// Removes the changes for which `keep` returns false.
     pub fn retain(&mut self, mut keep: impl FnMut(&Change) -> bool) {
+        self.deferred.retain(|_, change| keep(change));
         let positions = &mut self.positions;
         self.changes.retain(|_, change| {
             let kept = keep(change);
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -402,13 +402,14 @@
         } else {
             now + BRIDGE_DELAY
         };
-        self.log.record(Change {
+        let change = Change {
             topic,
             urgency,
             learned: now,
             due,
             known_by: from.into_iter().collect(),
-        });
+        };
+        self.log.record(change, now);
     }
 
     /// Records a member, announced by itself (`direct`) or by another one; returns whether it
--- a/crates/fleet/src/peers/build.rs
+++ b/crates/fleet/src/peers/build.rs
@@ -24,6 +24,7 @@
 impl PeerTable {
     /// Returns the update for the process at `address`, and records that it is sent.
     pub fn update_for(&mut self, address: SocketAddr, directory: &Directory, now: Time) -> Update {
+        self.log.release(now);
         let peer = self.peers.get(&address);
         let link = peer.map(|peer| peer.link.clone()).unwrap_or_default();
         let mut update = Update {
@@ -49,14 +50,10 @@
         };
         let mut loads: Map<u64, Vec<(u64, EngineLoad, u64)>> = Map::default();
         let mut engines: Set<&str> = Set::default();
-        for (position, change) in self.log.after(link.confirmed) {
+        for (_, change) in self.log.after(link.confirmed) {
             if !change.concerns(run) {
                 continue;
             }
-            if change.due > now {
-                update.position = update.position.min(position - 1);
-                continue;
-            }
             match &change.topic {
                 Topic::Engine(id) | Topic::Heartbeat(id) => {
                     if engines.insert(id) {
--- a/crates/fleet/src/peers/engines.rs
+++ b/crates/fleet/src/peers/engines.rs
@@ -79,7 +79,9 @@
             DirectoryUpdate::Changed => self.record_engine(&id, now),
             DirectoryUpdate::Refreshed => self.record_heartbeat(id, None, now),
             DirectoryUpdate::Stale if leaves => self.record_heartbeat(id, None, now),
-            DirectoryUpdate::Stale | DirectoryUpdate::Known | DirectoryUpdate::Rejected => {}
+            // An engine that repeats that it leaves waits for the acknowledgement.
+            DirectoryUpdate::Known => self.log.release_topic(&Topic::Engine(id), now),
+            DirectoryUpdate::Stale | DirectoryUpdate::Rejected => {}
         }
         update
     }
@@ -133,9 +135,10 @@
         let link = self.runs.get(&from).and_then(|at| self.peers.get(at));
         let confirmed = link.map_or(0, |peer| peer.link.confirmed);
         let topic = Topic::Engine(id.to_owned());
-        let is_pending = self.log.get(&topic).is_some_and(|(position, change)| {
-            position > confirmed && change.concerns(from) && change.due <= now
-        });
+        let is_pending = self
+            .log
+            .get(&topic)
+            .is_some_and(|(position, change)| position > confirmed && change.concerns(from));
         if !is_pending {
             self.record(topic, Urgency::Now, None, now);
         }
@@ -159,6 +162,8 @@
     ) -> bool {
         if directory.mark_gone(id, started_ms, now).is_some() {
             self.record_engine(id, now);
+        } else {
+            self.log.release_topic(&Topic::Engine(id.to_owned()), now);
         }
         directory.has_ended(id, started_ms)
     }
--- a/crates/fleet/src/peers/schedule.rs
+++ b/crates/fleet/src/peers/schedule.rs
@@ -162,6 +162,7 @@
     /// Returns the processes to send an update to now, addresses of the settings among them.
     pub fn due(&mut self, seeds: &[SocketAddr], now: Time) -> Vec<SocketAddr> {
         self.update_links(seeds, now);
+        self.log.release(now);
         let active = self.is_active();
         let peers = self.peers.iter();
         let mut due: Vec<SocketAddr> = peers
@@ -216,10 +217,13 @@
         if since < BATCH_DELAY || pace.is_some() && since >= quiet {
             return since >= BATCH_DELAY;
         }
+        if self.awaits_confirmation(peer) {
+            return true;
+        }
         let pending = self
             .log
             .after(link.sent)
-            .filter(|(_, change)| change.due <= now && change.concerns(peer.member.run_id));
+            .filter(|(_, change)| change.concerns(peer.member.run_id));
         let urgency = pending.map(|(_, change)| change.urgency).max();
         match urgency {
             Some(Urgency::Now) => true,
@@ -229,6 +233,20 @@
     }
 }
 
+impl PeerTable {
+    /// Returns whether a change of an engine's state was sent to `peer` in a response, which it
+    /// confirms with the next exchange only. An engine may wait for that.
+    fn awaits_confirmation(&self, peer: &Peer) -> bool {
+        let (link, run) = (&peer.link, peer.member.run_id);
+        let sent = self.log.after(link.confirmed);
+        let mut sent = sent.take_while(|(position, _)| *position <= link.sent);
+        sent.any(|(_, change)| {
+            let is_state = matches!(change.topic, Topic::Engine(_));
+            is_state && change.urgency == Urgency::Now && change.concerns(run)
+        })
+    }
+}
+
 /// Returns whether `peer` has asked recently, and counts as linked.
 pub(super) fn asks(peer: &Peer, now: Time) -> bool {
     let asked = peer.link.asked;
--- a/crates/fleet/tests/departures.rs
+++ b/crates/fleet/tests/departures.rs
@@ -637,6 +637,27 @@
     assert!(process.table.spread("e", now).is_complete());
 }
 
+/// Guards against a departure that isn't acknowledged in time: the process was about to pass on
+/// something else a little later, which held back what its links confirm.
+#[test]
+fn news_that_is_passed_on_later_delays_no_acknowledgement() {
+    let (teller, told) = (0, 8);
+    let mut fleet = known_engine(9, teller);
+    fleet.add_engine(1, Time(u64::MAX), false);
+    fleet.run(Span::secs(2));
+    let now = fleet.now;
+    let process = &mut fleet.processes[teller];
+    process
+        .table
+        .hear_end(&mut process.directory, "ee", Some(7), now);
+    while fleet.processes[told].uses("ee") {
+        fleet.step();
+    }
+    let begun = fleet.now;
+    end_engine(&mut fleet, told);
+    assert!(begun.until(fleet.now) < Span::millis(200), "too late");
+}
+
 /// Guards against replicas that are never told that an engine has left: all of them have
 /// restarted, and only processes without a disk know it.
 #[test]
