mulberryd: planned stops among the departures drawn from a seed

Cause: the series killed and froze gateways around a departure; a gateway that is told to stop, which still holds and passes on what it knows and isn't waited for, was played by no test of real processes.

Change: a third kind of disturbance, SIGTERM, and a new start once the gateway has exited. The seeds draw other series than before.

--- a/crates/mulberryd/tests/departures.rs
+++ b/crates/mulberryd/tests/departures.rs
@@ -210,6 +210,8 @@
 enum Trouble {
     Kill,
     Freeze,
+    /// A planned stop; the gateway starts again once it has exited.
+    Stop,
 }
 
 /// Disturbs and restores gateways around one departure, drawn from `rng`. At most one of them
@@ -223,7 +225,7 @@
     site.engine.sequence += 1;
     let mut troubles = Vec::new();
     for &index in &chosen {
-        let trouble = [Trouble::Kill, Trouble::Freeze][rng.usize(..2)];
+        let trouble = [Trouble::Kill, Trouble::Freeze, Trouble::Stop][rng.usize(..3)];
         // A heartbeat that is told to nobody yet.
         if rng.bool() {
             site.beat(index);
@@ -245,6 +247,7 @@
             match trouble {
                 Trouble::Kill => site.gateways[index].kill(),
                 Trouble::Freeze => site.gateways[index].signal(Signal::STOP),
+                Trouble::Stop => site.gateways[index].signal(Signal::TERM),
             }
         }
     };
@@ -267,6 +270,14 @@
         match trouble {
             Trouble::Kill => site.start_gateway(index, false),
             Trouble::Freeze => site.gateways[index].signal(Signal::CONT),
+            Trouble::Stop => {
+                let exits = (0..MAX_POLLS).any(|_| {
+                    thread::sleep(POLL_INTERVAL);
+                    site.gateways[index].has_exited()
+                });
+                assert!(exits, "gateway {index} doesn't stop");
+                site.start_gateway(index, false);
+            }
         }
     }
     pause(rng, 1_000);
@@ -275,7 +286,7 @@
     }
 }
 
-/// Guards against engines that have left and are used again: kills, freezes, restarts and late
+/// Guards against engines that have left and are used again: kills, freezes, planned stops and late
 /// heartbeats at moments, and at gateways, drawn from a seed.
 #[test]
 fn engines_that_have_left_stay_left_at_moments_drawn_from_a_seed() {
