gateway: a departure that isn't recorded isn't acknowledged

What callers saw: nothing yet; an engine that drains got a 200 for news that nobody held, and all gateways went on sending requests to it until it exited.

Cause: `announce` answered 200 to each announcement that the directory rejects: one that names another service under a sound engine's name, and one beyond the directory's 4,096 engines. That is right for an engine that is ready, which repeats itself; the news that an engine leaves isn't repeated after a 200.

Change: such news is refused with 503 and `event=refused` in the log, as that of an unknown run was already. The engine tells another gateway.

Evidence: a_departure_that_is_not_recorded_is_not_acknowledged failed before (200) and passes. engines_beyond_the_bound_are_rejected_in_each_phase holds the directory's part, which was right before.

--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -22,7 +22,7 @@
 use crate::state::ProcessState;
 
 /// The news that an engine leaves isn't acknowledged: too few peers have confirmed it in time,
-/// or its run isn't known here.
+/// or it isn't recorded here.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 #[error("no other process holds this yet")]
 pub struct NotHeld;
@@ -31,7 +31,7 @@
 ///
 /// # Errors
 ///
-/// Fails if the engine leaves and too few peers confirm it in time.
+/// Fails if the engine leaves and that isn't recorded here, or too few peers confirm it in time.
 pub async fn announce(shared: &Arc<ProcessContext>, id: &str, body: &[u8]) -> Result<(), NotHeld> {
     let announcement = match announce::parse(id, body) {
         Ok(announcement) => announcement,
@@ -58,9 +58,13 @@
         }
         shared.update_needed.notify(usize::MAX);
     }
-    if phase == Phase::Ready || update == DirectoryUpdate::Rejected {
+    if phase == Phase::Ready {
         return Ok(());
     }
+    if update == DirectoryUpdate::Rejected {
+        log::warn!("engine: event=refused engine={id} reason=\"it isn't recorded here\"");
+        return Err(NotHeld);
+    }
     await_holders(shared, id, now).await
 }
 
--- a/crates/mulberryd/tests/departures.rs
+++ b/crates/mulberryd/tests/departures.rs
@@ -11,6 +11,7 @@
 use fastrand::Rng;
 use platform::test_support;
 use routing::directory::EngineAnnouncement;
+use routing::directory::Phase;
 use rustix::process::Signal;
 use soak::caller;
 use soak::oracle::Oracle;
@@ -205,6 +206,25 @@
     assert!(site.shows(1, ENDED), "it is used again");
 }
 
+/// Guards against an acknowledgement of a departure that nobody holds: it names a service that
+/// isn't configured, in the place of a sound engine.
+#[test]
+fn a_departure_that_is_not_recorded_is_not_acknowledged() {
+    let mut site = Site::start("rejected");
+    let sound = site.engine.clone();
+    site.engine.service = "nobody".to_owned();
+    site.engine.phase = Phase::Draining;
+    assert!(!site.beat(HOME));
+    for _ in 0..QUIET_POLLS {
+        site.engine = sound.clone();
+        site.beat(HOME);
+        thread::sleep(POLL_INTERVAL);
+    }
+    for index in 0..site.gateways.len() {
+        assert!(site.shows(index, AVAILABLE), "gateway {index}");
+    }
+}
+
 /// What happens to a gateway around a departure.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Trouble {
--- a/crates/routing/src/directory.rs
+++ b/crates/routing/src/directory.rs
@@ -34,7 +34,7 @@
 const MAX_COLD_TIME: Span = Span::millis(120_000);
 
 /// Maximum number of known engines. Further ones are not recorded until others expire.
-const MAX_ENGINES: usize = 4_096;
+pub const MAX_ENGINES: usize = 4_096;
 
 /// The phase of an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
--- a/crates/routing/tests/directory.rs
+++ b/crates/routing/tests/directory.rs
@@ -9,6 +9,7 @@
 use routing::Directory;
 use routing::directory::DirectoryUpdate;
 use routing::directory::EngineAnnouncement;
+use routing::directory::MAX_ENGINES;
 use routing::directory::Phase;
 
 fn announcement(id: &str, started_ms: u64, sequence: u64, phase: Phase) -> EngineAnnouncement {
@@ -160,3 +161,25 @@
     let fresh = directory.apply_announcement(announcement("g", 5, 1, Phase::Ready), Time(4));
     assert_eq!(fresh, DirectoryUpdate::Changed);
 }
+
+/// Guards against an announcement that is taken for recorded though there is no room for it.
+#[test]
+fn engines_beyond_the_bound_are_rejected_in_each_phase() {
+    let mut directory = Directory::default();
+    let engine = |n: usize, phase| {
+        let [.., high, low] = n.to_be_bytes();
+        EngineAnnouncement {
+            address: SocketAddrV4::new([10, 0, high, low].into(), 80),
+            ..announcement(&format!("i-{n}"), 1, 1, phase)
+        }
+    };
+    for n in 0..MAX_ENGINES {
+        let update = directory.apply_announcement(engine(n, Phase::Ready), Time(1));
+        assert_eq!(update, DirectoryUpdate::Changed, "engine {n}");
+    }
+    for phase in [Phase::Ready, Phase::Draining, Phase::Gone] {
+        let update = directory.apply_announcement(engine(MAX_ENGINES, phase), Time(1));
+        assert_eq!(update, DirectoryUpdate::Rejected, "{phase:?}");
+    }
+    assert!(directory.mark_gone("i-7", Some(1), Time(1)).is_some());
+}
