gateway: an acknowledged departure is in the replicated log

What callers saw: an engine deregisters or says that it drains, and is acknowledged. All gateways are killed and are back half a second later. A heartbeat from before arrives late, and all gateways send requests to the engine until it exits; those at work then are cut.

Cause: the departure was held by the memory of the gateways only. An accepted configuration, which the same kills leave in force, is in the replicated log.

Change: an acknowledgement leaves once the log has committed the departure (`gateway::departures`, `routing::departures`); the wait for the peers' memory stays beside it and no longer decides. Each replica tells its process of the committed departures, and this tells the others as before. A process that has started, or stood still, asks the leader for the committed departures before it sends requests to engines (`fleet::view`), and goes on asking when it has waited long enough. A repeated departure writes nothing. A site without a replica goes by its peers, as before. Each refusal has a type and a line `event=refused cause=`, and `event=view_current` says which answers came in time. `Driver::flush` is divided into its steps.

--- a/crates/fleet/src/mesh.rs
+++ b/crates/fleet/src/mesh.rs
@@ -175,6 +175,10 @@
     LatestEvacuations,
     /// Asks for the number of the entry at an address.
     NumberEntry(SocketAddr),
+    /// Asks to commit that an engine leaves.
+    Depart(EngineAnnouncement),
+    /// Asks for the committed departures (a linearizable read).
+    LatestDepartures,
 }
 
 impl MeshRequest {
@@ -220,4 +224,6 @@
     Evacuations(EvacuationSet),
     /// The number of an entry.
     EntryNumber(u32),
+    /// The committed departures.
+    Departures(Vec<EngineAnnouncement>),
 }
--- a/crates/fleet/src/peers/engines.rs
+++ b/crates/fleet/src/peers/engines.rs
@@ -200,6 +200,14 @@
         (is_linked || schedule::asks(peer, now)) && peer.is_usable(now) && peer.is_reachable(now)
     }
 
+    /// Returns whether this process or a peer has a replica of the log, as far as is known here.
+    #[must_use]
+    pub fn knows_replica(&self) -> bool {
+        let peers = self.peers.values().map(|peer| &peer.member);
+        let mut members = peers.chain([&self.own.member]);
+        members.any(|member| member.keeper.is_some())
+    }
+
     /// Returns whether each peer that this process is linked to has answered an exchange that
     /// began at `since` or later, but for those that don't answer; false without such a peer.
     #[must_use]
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -24,7 +24,7 @@
 use crate::config_sync;
 use crate::conn::Conn;
 use crate::engines;
-use crate::engines::NotHeld;
+use crate::engines::DepartureError;
 use crate::evacuations;
 use crate::evacuations::OrderError;
 use crate::intake;
@@ -173,7 +173,7 @@
 }
 
 /// Answers what an engine has told.
-fn acknowledge(result: Result<(), NotHeld>) -> (u16, Vec<u8>) {
+fn acknowledge(result: Result<(), DepartureError>) -> (u16, Vec<u8>) {
     match result {
         Ok(()) => (200, b"{}".to_vec()),
         // The engine tells another process.
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -1,8 +1,9 @@
 //! What engines tell this process, and what peers tell of engines.
 //!
 //! An engine that leaves says so once and takes the acknowledgement for final. It is
-//! acknowledged when the peers that this process reaches hold it, so that the news outlives
-//! this process.
+//! acknowledged when the replicated log has committed it, so that the news outlives all
+//! processes, and the peers that this process reaches have had the time to confirm it. On a site
+//! without a log, the peers must hold it.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -11,28 +12,51 @@
 use base::Time;
 use fleet::mesh::ReceivedAnnouncement;
 use fleet::peers::HOLD_TIMEOUT;
+use fleet::peers::Spread;
 use futures_lite::FutureExt as _;
+use futures_lite::future;
 use platform::announce;
 use routing::directory::DirectoryUpdate;
 use routing::directory::EngineAnnouncement;
 use routing::directory::Phase;
 use thiserror::Error;
 
+use crate::departures;
 use crate::state::ProcessContext;
 use crate::state::ProcessState;
 
-/// The news that an engine leaves isn't acknowledged: too few peers have confirmed it in time,
-/// or it isn't recorded here.
+/// Why the news that an engine leaves isn't acknowledged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-#[error("no other process holds this yet")]
-pub struct NotHeld;
+pub enum DepartureError {
+    /// It isn't recorded here: its run isn't the one that is known here, or there are too many
+    /// engines.
+    #[error("this isn't recorded here")]
+    NotRecorded,
+    /// The replicated log hasn't committed it in time.
+    #[error("no majority holds this yet")]
+    NotCommitted,
+    /// The site has no replicated log, and too few peers have confirmed it in time.
+    #[error("no other process holds this yet")]
+    NotHeld,
+}
+
+/// Logs that the news of the engine `id` is refused, and returns the cause.
+fn refuse(shared: &ProcessContext, id: &str, cause: DepartureError) -> DepartureError {
+    shared.metrics.record_departure_refused();
+    log::warn!("engine: event=refused engine={id} cause={cause:?} reason=\"{cause}\"");
+    cause
+}
 
 /// Applies an engine's announcement; returns once it may be acknowledged.
 ///
 /// # Errors
 ///
-/// Fails if the engine leaves and that isn't recorded here, or too few peers confirm it in time.
-pub async fn announce(shared: &Arc<ProcessContext>, id: &str, body: &[u8]) -> Result<(), NotHeld> {
+/// Fails if the engine leaves and that isn't recorded, or not held in time.
+pub async fn announce(
+    shared: &Arc<ProcessContext>,
+    id: &str,
+    body: &[u8],
+) -> Result<(), DepartureError> {
     let announcement = match announce::parse(id, body) {
         Ok(announcement) => announcement,
         Err(error) => {
@@ -42,39 +66,48 @@
         }
     };
     let now = shared.now();
-    let (phase, sequence, started_ms, cold_ms) = (
-        announcement.phase,
-        announcement.sequence,
-        announcement.started_ms,
-        announcement.cold_ms,
-    );
-    let update = hear(shared, announcement, now);
+    let update = hear(shared, announcement.clone(), now);
     if update == DirectoryUpdate::Changed {
-        log::info!(
-            "engine: event=announced engine={id} phase={phase:?} sequence={sequence} born={started_ms}"
-        );
-        if cold_ms > 0 {
-            log::info!("engine: event=cold engine={id} left_ms={cold_ms}");
-        }
+        log_change(&announcement);
         shared.update_needed.notify(usize::MAX);
     }
-    if phase == Phase::Ready {
+    if announcement.phase == Phase::Ready {
         return Ok(());
     }
     if update == DirectoryUpdate::Rejected {
-        log::warn!("engine: event=refused engine={id} reason=\"it isn't recorded here\"");
-        return Err(NotHeld);
+        return Err(refuse(shared, id, DepartureError::NotRecorded));
+    }
+    await_holders(shared, announcement, now).await
+}
+
+fn log_change(announcement: &EngineAnnouncement) {
+    let EngineAnnouncement {
+        id,
+        started_ms,
+        sequence,
+        phase,
+        cold_ms,
+        ..
+    } = announcement;
+    log::info!(
+        "engine: event=announced engine={id} phase={phase:?} sequence={sequence} born={started_ms}"
+    );
+    if *cold_ms > 0 {
+        log::info!("engine: event=cold engine={id} left_ms={cold_ms}");
     }
-    await_holders(shared, id, now).await
 }
 
 /// Records the end of an engine's run; returns once it may be acknowledged.
 ///
 /// # Errors
 ///
-/// Fails if too few peers confirm it in time, or if the run isn't known here but an earlier one
-/// is, or if nothing tells which run it is: another process may know it.
-pub async fn end(shared: &Arc<ProcessContext>, id: &str, body: &[u8]) -> Result<(), NotHeld> {
+/// Fails if it isn't held in time, or if the run isn't known here but an earlier one is, or if
+/// nothing tells which run it is: another process may know it.
+pub async fn end(
+    shared: &Arc<ProcessContext>,
+    id: &str,
+    body: &[u8],
+) -> Result<(), DepartureError> {
     let now = shared.now();
     let started_ms = match announce::parse_deregistration(body) {
         Ok(started_ms) => started_ms,
@@ -83,13 +116,15 @@
             return Ok(());
         }
     };
-    let (known, recorded) = hear_end(shared, id, started_ms, now);
+    let (known, end) = hear_end(shared, id, started_ms, now);
     log::info!("engine: event=left engine={id} born={started_ms:?} known={known}");
     shared.update_needed.notify(usize::MAX);
-    if !recorded && !shared.state().is_alone(&shared.own_member) {
-        return Err(NotHeld);
+    match end {
+        Some(end) => await_holders(shared, end, now).await,
+        // No other process could know the run.
+        None if shared.state().is_alone(&shared.own_member) => Ok(()),
+        None => Err(refuse(shared, id, DepartureError::NotRecorded)),
     }
-    await_holders(shared, id, now).await
 }
 
 fn hear(shared: &ProcessContext, announcement: EngineAnnouncement, now: Time) -> DirectoryUpdate {
@@ -104,23 +139,59 @@
     update
 }
 
-/// Returns whether the engine `id` was known, and whether the end of its run is recorded.
-fn hear_end(shared: &ProcessContext, id: &str, started_ms: Option<u64>, now: Time) -> (bool, bool) {
+/// Returns whether the engine `id` was known, and the end of its run if that is recorded.
+fn hear_end(
+    shared: &ProcessContext,
+    id: &str,
+    started_ms: Option<u64>,
+    now: Time,
+) -> (bool, Option<EngineAnnouncement>) {
     let mut state = shared.state();
     let ProcessState {
         peers, directory, ..
     } = &mut *state;
     let known = directory.get(id).is_some();
     let recorded = peers.hear_end(directory, id, started_ms, now);
+    let end = directory.end_of(id, started_ms).filter(|_| recorded);
     state.update_engine_pools(shared, now);
-    (known, recorded)
+    (known, end)
 }
 
-/// Waits until the peers that this process reaches hold the state of the engine `id`, which it
-/// has recorded at `since`.
-async fn await_holders(shared: &ProcessContext, id: &str, since: Time) -> Result<(), NotHeld> {
+/// Waits until the departure that an engine has told, which this process has recorded at `since`,
+/// is held by the replicated log, or by enough peers on a site without one.
+async fn await_holders(
+    shared: &ProcessContext,
+    told: EngineAnnouncement,
+    since: Time,
+) -> Result<(), DepartureError> {
+    let id = told.id.clone();
+    let has_log = shared.state().peers.knows_replica();
+    let commit = async { has_log && departures::commit(shared, told).await };
+    let (is_committed, spread) = future::zip(commit, await_spread(shared, &id, since)).await;
+    let cause = match spread {
+        _ if is_committed => None,
+        _ if has_log => Some(DepartureError::NotCommitted),
+        Some(spread) if !spread.is_enough() => Some(DepartureError::NotHeld),
+        _ => None,
+    };
+    let Spread { holders, pending } = spread.unwrap_or_default();
+    let waited = since.until(shared.now());
+    log::info!(
+        "engine: event=held engine={id} outcome={} committed={is_committed} holders={holders} pending={pending} ms={}",
+        cause.map_or("acknowledged", |_| "refused"),
+        waited.as_millis()
+    );
+    if let Some(cause) = cause {
+        return Err(refuse(shared, &id, cause));
+    }
+    shared.metrics.record_departure(waited);
+    Ok(())
+}
+
+/// Waits until the peers that this process reaches hold the state of the engine `id`, or have
+/// had the time to confirm it. Returns how many do; `None` if the site has no other process.
+async fn await_spread(shared: &ProcessContext, id: &str, since: Time) -> Option<Spread> {
     let deadline = since + HOLD_TIMEOUT;
-    let mut waits = false;
     loop {
         let listener = shared.peers_changed.listen();
         let now = shared.now();
@@ -129,23 +200,12 @@
             let is_alone = state.is_alone(&shared.own_member);
             (state.peers.spread(id, now), is_alone)
         };
-        if is_alone || spread.is_complete() && !waits {
-            return Ok(());
+        if is_alone {
+            return None;
         }
         if spread.is_complete() || now >= deadline {
-            let is_held = spread.is_enough();
-            let waited = since.until(now);
-            shared.metrics.record_departure(waited, is_held);
-            log::info!(
-                "engine: event=held engine={id} outcome={} holders={} pending={} ms={}",
-                if is_held { "acknowledged" } else { "refused" },
-                spread.holders,
-                spread.pending,
-                waited.as_millis()
-            );
-            return if is_held { Ok(()) } else { Err(NotHeld) };
+            return Some(spread);
         }
-        waits = true;
         let tick = async {
             Timer::after(now.until(deadline).into()).await;
         };
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -20,6 +20,7 @@
 use async_channel::Sender;
 use base::KeeperId;
 use consensus::Effects;
+use consensus::Entry;
 use consensus::Envelope;
 use consensus::Members;
 use consensus::MembershipChange;
@@ -37,6 +38,7 @@
 use ledger::allowance::Lease;
 use ledger::quorum;
 use ledger::quorum::Settlement;
+use routing::directory::EngineAnnouncement;
 use routing::evacuation::EvacuationSet;
 use store::DataFolder;
 use store::JournalOptions;
@@ -103,6 +105,10 @@
     ProposeOrder(Command, Reply),
     /// Reads the evacuated failure domains (a linearizable read).
     ReadEvacuations(Reply),
+    /// Proposes to record that an engine leaves, unless that is committed already.
+    RecordDeparture(EngineAnnouncement, Reply),
+    /// Reads the committed departures of engines (a linearizable read).
+    ReadDepartures(Reply),
     /// Proposes the demands of an entry under its lease.
     DrawGrants(Lease, Vec<Demand>, Reply),
     /// Records how much of its grants an entry has opened.
@@ -140,6 +146,8 @@
             | Self::AwaitConfig(..)
             | Self::ProposeOrder(..)
             | Self::ReadEvacuations(_)
+            | Self::RecordDeparture(..)
+            | Self::ReadDepartures(_)
             | Self::DrawGrants(..)
             | Self::RecordMark(..)
             | Self::FenceLease(..)
@@ -188,6 +196,8 @@
     ConfigAccepted(u64, Vec<u8>),
     /// The evacuated failure domains have changed.
     EvacuationsChanged(EvacuationSet),
+    /// These engines leave, as the log has committed.
+    Departed(Vec<EngineAnnouncement>),
     /// The leader that this replica knows has changed.
     LeaderChanged(Option<KeeperId>),
     /// Whether this replica is a member of the group has changed.
@@ -389,6 +399,7 @@
 enum ReadTarget {
     ConfigVersion,
     Evacuations,
+    Departures,
 }
 
 /// The state of the thread while the disk works.
@@ -493,6 +504,7 @@
             self.publish_config();
         }
         self.publish_evacuations();
+        self.publish_departures();
         let mut ticker = Ticker::new(TICK_INTERVAL, Instant::now());
         loop {
             let first = queue.recv_timeout(ticker.remaining(Instant::now()));
@@ -600,6 +612,10 @@
             Input::ProposeOrder(command, reply) => self.propose_order(&command, reply),
             Input::ReadVersion(reply) => self.read(ReadTarget::ConfigVersion, reply),
             Input::ReadEvacuations(reply) => self.read(ReadTarget::Evacuations, reply),
+            Input::RecordDeparture(announcement, reply) => {
+                self.record_departure(announcement, reply);
+            }
+            Input::ReadDepartures(reply) => self.read(ReadTarget::Departures, reply),
             Input::RecordMark(mark, reply) => self.marks.push((mark, reply)),
             Input::FenceLease(lease, reply) => self.fences.push((lease, reply)),
             Input::CloseLease(lease, opened, reply) => {
@@ -639,6 +655,15 @@
         self.propose(command, reply);
     }
 
+    /// Proposes to record a departure, unless it is committed: engines repeat it.
+    fn record_departure(&mut self, announcement: EngineAnnouncement, reply: Reply) {
+        if self.local.state.departures.covers(&announcement) {
+            self.responses.push((reply, MeshResponse::Done));
+            return;
+        }
+        self.propose_order(&Command::RecordDeparture(announcement), reply);
+    }
+
     /// Answers if a version has been accepted, or lets `reply` wait for its proposal; returns
     /// `reply` if there is none.
     fn join_proposal(&mut self, version: u64, reply: Reply) -> Option<Reply> {
@@ -853,35 +878,13 @@
                 self.applied_bytes = 0;
                 self.publish_config();
                 self.publish_evacuations();
+                self.publish_departures();
             }
             for entry in effects.committed {
-                self.applied_index = entry.position.index;
-                self.applied_bytes += entry.size_bytes();
-                if let Payload::Data(bytes) = &entry.payload {
-                    let command: Command = postcard::from_bytes(bytes)?;
-                    let before = self.local.state.config_version;
-                    let revision = self.local.state.evacuations.revision;
-                    let outcome = self.local.state.apply(command, entry.time_ms);
-                    if self.local.state.evacuations.revision > revision {
-                        self.publish_evacuations();
-                    }
-                    if self.local.state.config_version > before {
-                        self.publish_config();
-                    }
-                    self.complete_proposal(entry.position.index, entry.position.term, outcome);
-                }
+                self.apply_entry(&entry)?;
             }
             for (read_id, _) in effects.ready_reads {
-                if let Some((target, reply)) = self.reads.remove(&read_id) {
-                    let state = &self.local.state;
-                    let answer = match target {
-                        ReadTarget::ConfigVersion => MeshResponse::Version(state.config_version),
-                        ReadTarget::Evacuations => {
-                            MeshResponse::Evacuations(state.evacuations.clone())
-                        }
-                    };
-                    self.responses.push((reply, answer));
-                }
+                self.answer_read(read_id);
             }
             for read_id in effects.failed_reads {
                 if let Some((_, reply)) = self.reads.remove(&read_id) {
@@ -898,6 +901,48 @@
         Ok(())
     }
 
+    /// Applies a committed entry to the replicated state.
+    fn apply_entry(&mut self, entry: &Entry) -> Result<(), GroupError> {
+        self.applied_index = entry.position.index;
+        self.applied_bytes += entry.size_bytes();
+        let Payload::Data(bytes) = &entry.payload else {
+            return Ok(());
+        };
+        let command: Command = postcard::from_bytes(bytes)?;
+        let before = self.local.state.config_version;
+        let revision = self.local.state.evacuations.revision;
+        let departed = match &command {
+            Command::RecordDeparture(announcement) => Some(announcement.clone()),
+            _ => None,
+        };
+        let outcome = self.local.state.apply(command, entry.time_ms);
+        if let Some(announcement) = departed {
+            (self.options.output)(Output::Departed(vec![announcement]));
+        }
+        if self.local.state.evacuations.revision > revision {
+            self.publish_evacuations();
+        }
+        if self.local.state.config_version > before {
+            self.publish_config();
+        }
+        self.complete_proposal(entry.position.index, entry.position.term, outcome);
+        Ok(())
+    }
+
+    /// Answers a read that this replica, as the leader, has confirmed.
+    fn answer_read(&mut self, read_id: u64) {
+        let Some((target, reply)) = self.reads.remove(&read_id) else {
+            return;
+        };
+        let state = &self.local.state;
+        let answer = match target {
+            ReadTarget::ConfigVersion => MeshResponse::Version(state.config_version),
+            ReadTarget::Evacuations => MeshResponse::Evacuations(state.evacuations.clone()),
+            ReadTarget::Departures => MeshResponse::Departures(state.departures.to_vec()),
+        };
+        self.responses.push((reply, answer));
+    }
+
     /// Makes the queued marks and fences durable with one sync.
     fn write_marks(&mut self) -> Result<(), GroupError> {
         if self.marks.is_empty() && self.fences.is_empty() {
@@ -937,10 +982,11 @@
                 );
                 MeshResponse::Done
             }
-            Outcome::AddressRecorded => MeshResponse::Done,
+            Outcome::AddressRecorded | Outcome::DepartureRecorded(true) => MeshResponse::Done,
             Outcome::Granted(granted) => MeshResponse::Granted(granted),
             Outcome::EvacuationSet(set) => MeshResponse::Evacuations(set),
             Outcome::EntryNumbered(number) => MeshResponse::EntryNumber(number),
+            Outcome::DepartureRecorded(false) => MeshResponse::Unavailable,
         };
         for reply in pending.replies {
             self.responses.push((reply, answer.clone()));
@@ -985,6 +1031,13 @@
         }
     }
 
+    fn publish_departures(&self) {
+        let departures = &self.local.state.departures;
+        if !departures.is_empty() {
+            (self.options.output)(Output::Departed(departures.to_vec()));
+        }
+    }
+
     /// Reports changes of the leader and of this replica's membership to the process.
     fn publish_status(&mut self) {
         let replica = &self.local.replica;
--- a/crates/gateway/src/leader_requests.rs
+++ b/crates/gateway/src/leader_requests.rs
@@ -68,6 +68,8 @@
             Input::ProposeOrder(Command::NumberEntry { address }, reply)
         }
         MeshRequest::LatestEvacuations => Input::ReadEvacuations(reply),
+        MeshRequest::Depart(announcement) => Input::RecordDeparture(announcement, reply),
+        MeshRequest::LatestDepartures => Input::ReadDepartures(reply),
         MeshRequest::Join(id, disk, address) => {
             Input::JoinGroup(join_request(shared, id, disk, address), reply)
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`connection_pool`]: idle connections to engines.
 //! - [`control`]: the control interface for engines, operators and the load balancer.
 //! - [`crash_news`]: exchanges with peers which prompt segments crash engines.
+//! - [`departures`]: the departures of engines in the replicated log.
 //! - [`engines`]: what engines tell, and when their departures are acknowledged.
 //! - [`evacuations`]: orders to evacuate failure domains.
 //! - [`forwarding`]: forwards one request to engines.
@@ -44,6 +45,7 @@
 pub mod connection_pool;
 pub mod control;
 pub mod crash_news;
+pub mod departures;
 pub mod engines;
 pub mod evacuations;
 pub mod forwarding;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -23,6 +23,7 @@
 
 use crate::budget;
 use crate::crash_news;
+use crate::departures;
 use crate::engines;
 use crate::evacuations;
 use crate::group::Input;
@@ -113,6 +114,8 @@
             | MeshRequest::Evacuate(..)
             | MeshRequest::LatestEvacuations
             | MeshRequest::NumberEntry(_)
+            | MeshRequest::Depart(_)
+            | MeshRequest::LatestDepartures
             | MeshRequest::Draw(..) => {
                 request_leader_directly(&shared, &request, FORWARDED_REQUEST_TIMEOUT).await
             }
@@ -125,6 +128,8 @@
         | MeshRequest::Evacuate(..)
         | MeshRequest::LatestEvacuations
         | MeshRequest::NumberEntry(_)
+        | MeshRequest::Depart(_)
+        | MeshRequest::LatestDepartures
         | MeshRequest::Draw(..) => {
             let leader = shared.state().leader;
             match &shared.group {
@@ -259,6 +264,7 @@
         let gap = shared.state().view.begin_round(now);
         if gap > MAX_ROUND_GAP {
             log::warn!("gateway: event=woke gap_ms={}", gap.as_millis());
+            shared.view_outdated.notify(usize::MAX);
         }
         choose_founder(&shared, now);
         let active = start_exchanges(&shared, now);
@@ -296,7 +302,7 @@
 fn start_exchanges(shared: &Arc<ProcessContext>, now: Time) -> bool {
     let mut state = shared.state();
     describe_self(shared, &mut state, now);
-    settle_view(shared, &mut state, now);
+    departures::settle_view(shared, &mut state, now);
     let seeds = state.seeds.iter().map(|&seed| mesh_address(shared, seed));
     let seeds: Vec<SocketAddr> = seeds.collect();
     for address in state.peers.due(&seeds, now) {
@@ -320,16 +326,7 @@
     let now = shared.now();
     let mut state = shared.state();
     state.peers.finish_exchange(address, answered, now);
-    settle_view(shared, &mut state, now);
-}
-
-/// Lets requests that wait for a current view go on once it is current.
-fn settle_view(shared: &ProcessContext, state: &mut ProcessState, now: Time) {
-    let ProcessState { view, peers, .. } = state;
-    if view.settle(peers, now) {
-        log::info!("gateway: event=view_current");
-        shared.view_settled.notify(usize::MAX);
-    }
+    departures::settle_view(shared, &mut state, now);
 }
 
 /// Logs the memory in use regularly, as reported by the operating system in pages.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -112,11 +112,11 @@
             evacuated_domains: metrics.gauge("evacuated_domains", "Evacuated failure domains"),
             departure_latency: metrics.latency_histogram(
                 "departure_acknowledged_seconds",
-                "Time until peers held the news that an engine leaves",
+                "Time until the news that an engine leaves was held",
             ),
             departures_refused: counter(
                 "departures_refused",
-                "News that an engine leaves that no peer confirmed in time",
+                "News that an engine leaves that were refused",
             ),
             config_version: metrics.gauge("config_version", "The configuration in force"),
             mesh: MeshMetrics::register(metrics),
@@ -126,14 +126,15 @@
         }
     }
 
-    /// Records the news that an engine leaves; peers held it after `waited`, or not in time.
-    pub fn record_departure(&self, waited: Span, held: bool) {
-        if held {
-            let waited: Duration = waited.into();
-            self.departure_latency.observe(waited.as_secs_f64());
-        } else {
-            self.departures_refused.inc();
-        }
+    /// Records that the news of an engine that leaves was held after `waited`.
+    pub fn record_departure(&self, waited: Span) {
+        let waited: Duration = waited.into();
+        self.departure_latency.observe(waited.as_secs_f64());
+    }
+
+    /// Records that the news of an engine that leaves is refused.
+    pub fn record_departure_refused(&self) {
+        self.departures_refused.inc();
     }
 
     /// Records a complete response; both times are in milliseconds.
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -30,6 +30,7 @@
 use crate::config_sync;
 use crate::control;
 use crate::crash_news;
+use crate::departures;
 use crate::evacuations;
 use crate::frontend;
 use crate::group;
@@ -217,6 +218,7 @@
         pool.spawn(config_sync::confirm_config(Arc::clone(&self.shared)));
         pool.spawn(config_sync::fetch_configs(Arc::clone(&self.shared)));
         pool.spawn(evacuations::confirm_evacuations(Arc::clone(&self.shared)));
+        pool.spawn(departures::confirm_departures(Arc::clone(&self.shared)));
         pool.spawn(warm_up::number_entry(Arc::clone(&self.shared)));
         pool.spawn(budget::draw_grants(Arc::clone(&self.shared)));
         pool.spawn(budget::borrow_tokens(Arc::clone(&self.shared)));
@@ -359,6 +361,7 @@
                 shared.apply_config(StoredConfig::new(version, PackedConfig::from_bytes(body)));
             }
             Output::EvacuationsChanged(set) => evacuations::learn(&shared, &set),
+            Output::Departed(departed) => departures::learn(&shared, departed),
             Output::LeaderChanged(leader) => {
                 let mut state = shared.state();
                 state.leading_replica = leader;
--- a/crates/gateway/src/replicated_state.rs
+++ b/crates/gateway/src/replicated_state.rs
@@ -1,6 +1,6 @@
 //! The state machine of the replicated log: the accepted configuration, the teams'
-//! allowances, the address of each replica, the evacuated failure domains and the numbers of
-//! entries. Its inputs are committed commands.
+//! allowances, the address of each replica, the evacuated failure domains, the numbers of
+//! entries and the engines that leave. Its inputs are committed commands.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -10,6 +10,8 @@
 use ledger::allowance::Demand;
 use ledger::allowance::GrantReply;
 use ledger::allowance::Lease;
+use routing::Departures;
+use routing::directory::EngineAnnouncement;
 use routing::evacuation::EvacuationSet;
 use serde::Deserialize;
 use serde::Serialize;
@@ -60,6 +62,8 @@
         /// Its process's address for messages of peers.
         address: SocketAddr,
     },
+    /// Records that an engine leaves.
+    RecordDeparture(EngineAnnouncement),
 }
 
 /// The result of a command.
@@ -78,6 +82,8 @@
     EvacuationSet(EvacuationSet),
     /// The number of the entry.
     EntryNumbered(u32),
+    /// Whether the departure is recorded.
+    DepartureRecorded(bool),
 }
 
 /// The replicated state.
@@ -95,6 +101,8 @@
     pub evacuations: EvacuationSet,
     /// The number of the entry at each address. A process that restarts keeps its number.
     pub entry_numbers: BTreeMap<SocketAddr, u32>,
+    /// The engines that leave.
+    pub departures: Departures,
 }
 
 /// The replicated state of builds that knew no evacuations.
@@ -114,8 +122,13 @@
     /// Fails if the bytes are no snapshot.
     pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
         let (first, rest) = postcard::take_from_bytes::<FirstState>(bytes)?;
-        let (evacuations, entry_numbers) = if rest.is_empty() {
-            Default::default()
+        let ((evacuations, entry_numbers), rest) = if rest.is_empty() {
+            (Default::default(), rest)
+        } else {
+            postcard::take_from_bytes(rest)?
+        };
+        let departures = if rest.is_empty() {
+            Departures::default()
         } else {
             postcard::from_bytes(rest)?
         };
@@ -126,6 +139,7 @@
             replica_addresses: first.replica_addresses,
             evacuations,
             entry_numbers,
+            departures,
         })
     }
 
@@ -173,6 +187,9 @@
                 let number = self.entry_numbers.entry(address).or_insert(next);
                 Outcome::EntryNumbered(*number)
             }
+            Command::RecordDeparture(announcement) => {
+                Outcome::DepartureRecorded(self.departures.record(announcement, at))
+            }
         }
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -40,6 +40,7 @@
 use platform::settings::NodeSettings;
 use platform::site::SiteError;
 use routing::CrashSuspects;
+use routing::Departures;
 use routing::Directory;
 use routing::availability::Exclusion;
 use routing::directory::EngineAnnouncement;
@@ -96,6 +97,8 @@
     pub unconfirmed_logged: bool,
     /// The engines.
     pub directory: Directory,
+    /// The departures that this process knows to be committed.
+    pub departures: Departures,
     /// The pool of engines of each service.
     pub engine_pools: Map<String, EnginePool>,
     /// The identifier of each usable engine, by its key.
@@ -155,6 +158,8 @@
     pub update_needed: Event,
     /// Notified when a peer has told something or confirmed what it was told.
     pub peers_changed: Event,
+    /// Notified when the process may have missed that engines have left.
+    pub view_outdated: Event,
     /// Notified when the view of a process that has started or stood still is current again.
     pub view_settled: Event,
     /// Notified when peers should be told of a crashed engine.
@@ -243,6 +248,7 @@
             held_config: HeldConfig::default(),
             unconfirmed_logged: false,
             directory: Directory::default(),
+            departures: Departures::default(),
             engine_pools: Map::default(),
             engine_ids: Map::default(),
             connections: ConnectionPool::default(),
@@ -256,7 +262,11 @@
             }),
             crash_suspects: CrashSuspects::default(),
             peers: PeerTable::new(own.clone()),
-            view: View::open(is_alone(&settings.seeds, own), Time::default()),
+            view: View::open(
+                is_alone(&settings.seeds, own),
+                own.keeper.is_some(),
+                Time::default(),
+            ),
             sent_prompts: Vec::new(),
             leader: None,
             leading_replica: None,
@@ -407,6 +417,7 @@
             grants_changed: Event::new(),
             update_needed: Event::new(),
             peers_changed: Event::new(),
+            view_outdated: Event::new(),
             view_settled: Event::new(),
             crash_news: Event::new(),
             grants_needed: Event::new(),
--- /dev/null
+++ b/crates/gateway/tests/departures.rs
@@ -0,0 +1,126 @@
+//! Departures of engines in the replicated log of one replica.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::path::Path;
+use std::sync::Arc;
+
+use async_channel::Receiver;
+use consensus::Members;
+use consensus::Payload;
+use consensus::ReplacementPolicy;
+use durable::LogStore;
+use fleet::mesh::MeshResponse;
+use futures_lite::future::block_on;
+use gateway::group::Group;
+use gateway::group::GroupOptions;
+use gateway::group::Input;
+use gateway::group::Output;
+use gateway::group::Reply;
+use gateway::replicated_state::Command;
+use routing::directory::EngineAnnouncement;
+use routing::directory::Phase;
+use store::JournalOptions;
+
+fn departure(phase: Phase) -> EngineAnnouncement {
+    EngineAnnouncement {
+        id: "e".to_owned(),
+        started_ms: 5,
+        sequence: 3,
+        service: "llm".to_owned(),
+        address: SocketAddrV4::new([10, 0, 0, 1].into(), 80),
+        domain: "a".to_owned(),
+        slots: 8,
+        phase,
+        cold_ms: 0,
+    }
+}
+
+/// Opens the only replica of a group in `folder`; the departures that it publishes are received
+/// from the channel.
+fn open(folder: &Path) -> (Group, Receiver<Vec<EngineAnnouncement>>) {
+    let (sender, departed) = async_channel::unbounded();
+    let options = GroupOptions {
+        folder: folder.to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        quota_bytes: 8 << 20,
+        memory_bytes: 256 << 20,
+        policy: ReplacementPolicy {
+            min_voters: 1,
+            max_voters: 1,
+            absence_ticks: 50,
+        },
+        output: Arc::new(move |output| {
+            if let Output::Departed(departures) = output {
+                sender.try_send(departures).expect("not closed");
+            }
+        }),
+    };
+    (Group::open(options).expect("opened"), departed)
+}
+
+async fn ask(group: &Group, input: impl Fn(Reply) -> Input) -> MeshResponse {
+    loop {
+        let (reply, answer) = async_channel::bounded(1);
+        group.send(input(reply));
+        // Without a leader, an input is refused at once.
+        match answer.recv().await {
+            Ok(MeshResponse::Unavailable) | Err(_) => {}
+            Ok(response) => return response,
+        }
+    }
+}
+
+async fn stop(group: &Group) {
+    let (done, stopped) = async_channel::bounded(1);
+    group.send(Input::Stop(done));
+    stopped.recv().await.expect("stopped");
+}
+
+/// Guards against an acknowledged departure that is gone after a restart, and against log entries
+/// for departures that engines repeat.
+#[test]
+fn a_committed_departure_is_published_after_a_restart_and_written_once() {
+    let folder = std::env::temp_dir().join(format!("group-departures-{}", std::process::id()));
+    let _ = fs::remove_dir_all(&folder);
+    block_on(async {
+        let (group, departed) = open(&folder);
+        group.send(Input::FormGroup);
+        for phase in [
+            Phase::Draining,
+            Phase::Draining,
+            Phase::Gone,
+            Phase::Gone,
+            Phase::Draining,
+        ] {
+            let record = |reply| Input::RecordDeparture(departure(phase), reply);
+            assert_eq!(ask(&group, record).await, MeshResponse::Done);
+        }
+        assert_eq!(departed.recv().await, Ok(vec![departure(Phase::Draining)]));
+        assert_eq!(departed.recv().await, Ok(vec![departure(Phase::Gone)]));
+        stop(&group).await;
+        let (group, departed) = open(&folder);
+        let known = ask(&group, Input::ReadDepartures).await;
+        assert_eq!(
+            known,
+            MeshResponse::Departures(vec![departure(Phase::Gone)])
+        );
+        assert_eq!(departed.recv().await, Ok(vec![departure(Phase::Draining)]));
+        assert_eq!(departed.recv().await, Ok(vec![departure(Phase::Gone)]));
+        stop(&group).await;
+    });
+    let (_, recovered) = LogStore::open(
+        &folder.join("log"),
+        Members::default(),
+        JournalOptions::default(),
+    )
+    .expect("readable");
+    let commands = recovered.log.entries_from(1).iter();
+    let departures = commands.filter(|entry| {
+        matches!(&entry.payload, Payload::Data(bytes)
+            if matches!(postcard::from_bytes(bytes), Ok(Command::RecordDeparture(_))))
+    });
+    assert_eq!(departures.count(), 2);
+    fs::remove_dir_all(folder).expect("removed");
+}
--- a/crates/gateway/tests/replicated_state.rs
+++ b/crates/gateway/tests/replicated_state.rs
@@ -2,12 +2,15 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::net::SocketAddrV4;
 
 use base::KeeperId;
 use gateway::replicated_state::Command;
 use gateway::replicated_state::Outcome;
 use gateway::replicated_state::ReplicatedState;
 use ledger::Allowances;
+use routing::directory::EngineAnnouncement;
+use routing::directory::Phase;
 use routing::evacuation::EvacuationSet;
 
 /// Guards against a wait for a timeout after a lost disk: its process restarts
@@ -61,6 +64,46 @@
     assert!(ReplicatedState::decode(&bytes[..bytes.len() - 1]).is_err());
 }
 
+/// A data folder of a build that kept no departures stays readable, and departures are part of a
+/// snapshot.
+#[test]
+fn departures_survive_a_snapshot_and_are_absent_from_earlier_ones() {
+    let address = SocketAddr::from(([10, 0, 0, 1], 1));
+    let addresses = BTreeMap::from([(address, KeeperId(4))]);
+    let numbers = BTreeMap::from([(address, 2_u32)]);
+    let evacuations = EvacuationSet::default();
+    let allowances = Allowances::default();
+    let earlier = (
+        7_u64,
+        vec![1_u8],
+        allowances,
+        &addresses,
+        &evacuations,
+        &numbers,
+    );
+    let bytes = postcard::to_stdvec(&earlier).expect("encoded");
+    let mut state = ReplicatedState::decode(&bytes).expect("readable");
+    assert_eq!(state.entry_numbers, numbers);
+    assert!(state.departures.is_empty());
+    let left = EngineAnnouncement {
+        id: "e".to_owned(),
+        started_ms: 5,
+        sequence: 1,
+        service: "llm".to_owned(),
+        address: SocketAddrV4::new([10, 0, 0, 1].into(), 80),
+        domain: "a".to_owned(),
+        slots: 8,
+        phase: Phase::Gone,
+        cold_ms: 0,
+    };
+    let outcome = state.apply(Command::RecordDeparture(left.clone()), 9);
+    assert_eq!(outcome, Outcome::DepartureRecorded(true));
+    let bytes = postcard::to_stdvec(&state).expect("encoded");
+    let decoded = ReplicatedState::decode(&bytes).expect("readable");
+    assert!(decoded.departures.covers(&left));
+    assert_eq!(decoded, state);
+}
+
 /// No two entries ever have the same number, and one that restarts keeps its own.
 #[test]
 fn entries_keep_their_numbers() {
--- a/crates/mulberryd/tests/departures.rs
+++ b/crates/mulberryd/tests/departures.rs
@@ -28,6 +28,9 @@
 const AVAILABLE: &str = "mulberrytally_engines_available 1";
 const ENDED: &str = "mulberrytally_engines_ended 1";
 
+/// The line by which a gateway knows that the engine drains.
+const DRAINING: &str = "mulberrytally_engines_draining 1";
+
 /// Number of departures in a series.
 const DEPARTURES: usize = 4;
 
@@ -44,6 +47,12 @@
 /// Polls in which what must not happen would have happened.
 const QUIET_POLLS: u32 = 30;
 
+/// Returns the seed of a series: that of the environment, or `default`.
+fn seed_or(default: u64) -> u64 {
+    let seed = std::env::var("SEED").ok();
+    seed.and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
 /// Gateways that know one engine, which sends no heartbeats of its own.
 struct Site {
     folder: PathBuf,
@@ -111,6 +120,37 @@
         })
     }
 
+    /// Kills all gateways and starts them again; the disk of `lost` is wiped in between.
+    fn restart_all(&mut self, lost: Option<usize>) {
+        for gateway in &mut self.gateways {
+            gateway.kill();
+        }
+        if let Some(lost) = lost {
+            self.gateways[lost].wipe_disk().expect("wiped");
+        }
+        for index in 0..self.gateways.len() {
+            self.start_gateway(index, false);
+        }
+    }
+
+    /// Sends a heartbeat from before the departure to all gateways once they have restarted, and
+    /// expects that none of them uses the engine, and that all know `ended` that have left.
+    fn expect_ended_after_a_late_heartbeat(&mut self, ended: usize) {
+        for index in 0..self.gateways.len() {
+            self.wait_for(index, "mulberrytally_config_version 1");
+            self.beat(index);
+        }
+        for index in 0..self.gateways.len() {
+            self.wait_for(index, &format!("mulberrytally_engines_ended {ended}"));
+        }
+        for _ in 0..QUIET_POLLS {
+            thread::sleep(POLL_INTERVAL);
+            for index in 0..self.gateways.len() {
+                assert!(!self.shows(index, AVAILABLE), "gateway {index} uses it");
+            }
+        }
+    }
+
     fn wait_for(&self, index: usize, line: &str) {
         let shown = (0..MAX_POLLS).any(|_| {
             thread::sleep(POLL_INTERVAL);
@@ -206,6 +246,57 @@
     assert!(site.shows(1, ENDED), "it is used again");
 }
 
+/// Guards against an engine that has left and is used again: all gateways were killed right after
+/// the acknowledgement, one disk was lost, and an earlier heartbeat arrived.
+#[test]
+fn an_acknowledged_departure_outlives_the_end_of_all_gateways() {
+    let mut site = Site::start("all-killed");
+    assert_eq!(site.deregister(HOME), Some(200));
+    site.restart_all(Some(0));
+    site.expect_ended_after_a_late_heartbeat(1);
+}
+
+/// Guards against an engine that drains and is used again: all gateways were killed right after
+/// the acknowledgement, and an earlier heartbeat arrived.
+#[test]
+fn an_acknowledged_drain_outlives_the_end_of_all_gateways() {
+    let mut site = Site::start("all-killed-draining");
+    let late = test_support::heartbeat(&site.engine);
+    site.engine.phase = Phase::Draining;
+    assert!(site.beat(HOME));
+    site.restart_all(None);
+    for index in 0..site.gateways.len() {
+        site.wait_for(index, "mulberrytally_config_version 1");
+        site.post(index, late.clone());
+    }
+    for index in 0..site.gateways.len() {
+        site.wait_for(index, DRAINING);
+    }
+}
+
+/// Guards against engines that have left and are used again after the end of all gateways, at
+/// moments drawn from a seed.
+#[test]
+fn departures_outlive_all_gateways_at_moments_drawn_from_a_seed() {
+    let mut rng = Rng::with_seed(seed_or(50));
+    let mut site = Site::start(&format!("all-killed-{}", rng.get_seed()));
+    for departure in 1..=DEPARTURES {
+        let told = rng.usize(..site.gateways.len());
+        assert_eq!(site.deregister(told), Some(200), "departure {departure}");
+        thread::sleep(Duration::from_millis(rng.u64(..600)));
+        let lost = rng.bool().then(|| rng.usize(..3));
+        site.restart_all(lost);
+        site.expect_ended_after_a_late_heartbeat(departure);
+        site.engine = setup::announcement(&format!("e{departure}"), "list", site.engine.address);
+        for index in 0..site.gateways.len() {
+            assert!(site.beat(index), "gateway {index}");
+        }
+        for index in 0..site.gateways.len() {
+            site.wait_for(index, AVAILABLE);
+        }
+    }
+}
+
 /// Guards against an acknowledgement of a departure that nobody holds: it names a service that
 /// isn't configured, in the place of a sound engine.
 #[test]
@@ -310,10 +401,7 @@
 /// heartbeats at moments, and at gateways, drawn from a seed.
 #[test]
 fn engines_that_have_left_stay_left_at_moments_drawn_from_a_seed() {
-    let seed = std::env::var("SEED")
-        .ok()
-        .and_then(|text| text.parse().ok());
-    let seed = seed.unwrap_or(7);
+    let seed = seed_or(7);
     let mut rng = Rng::with_seed(seed);
     let mut site = Site::start(&format!("series-{seed}"));
     for departure in 1..=DEPARTURES {
--- a/crates/routing/src/directory.rs
+++ b/crates/routing/src/directory.rs
@@ -25,7 +25,7 @@
 /// Time after which an engine that was not heard from is removed. It covers the delay of
 /// announcements that a network partition holds up, so that the end of a run is still
 /// recorded when they arrive.
-const ENGINE_TTL: Span = Span::millis(120_000);
+pub const ENGINE_TTL: Span = Span::millis(120_000);
 
 /// Difference in the end of an engine's warm-up from which on it counts as a change.
 const MIN_COLD_CHANGE: Span = Span::millis(250);
@@ -349,17 +349,33 @@
         started_ms: Option<u64>,
         now: Time,
     ) -> Option<EngineAnnouncement> {
+        let known = self
+            .engines
+            .get(id)
+            .map(|known| known.announcement.started_ms);
+        if known.is_some_and(|known| started_ms.is_some_and(|told| told != known)) {
+            return None;
+        }
+        let end = self.end_of(id, started_ms)?;
+        let update = self.record_end(end.clone(), now);
+        (update == DirectoryUpdate::Changed).then_some(end)
+    }
+
+    /// Returns the announcement of the end of the run of the engine `id` that began at
+    /// `started_ms`, or of the recorded one; `None` if nothing tells which run it is.
+    #[must_use]
+    pub fn end_of(&self, id: &str, started_ms: Option<u64>) -> Option<EngineAnnouncement> {
         let known = self.engines.get(id).map(|known| &known.announcement);
-        let end = match known {
-            Some(known) if started_ms.is_some_and(|ms| ms != known.started_ms) => return None,
-            Some(known) => EngineAnnouncement {
+        let is_run = |known: &&EngineAnnouncement| {
+            started_ms.is_none_or(|started_ms| started_ms == known.started_ms)
+        };
+        match known.filter(is_run) {
+            Some(known) => Some(EngineAnnouncement {
                 phase: Phase::Gone,
                 ..known.clone()
-            },
-            None => end_of_unknown_run(id, started_ms?),
-        };
-        let update = self.record_end(end.clone(), now);
-        (update == DirectoryUpdate::Changed).then_some(end)
+            }),
+            None => Some(end_of_unknown_run(id, started_ms?)),
+        }
     }
 
     /// Returns whether the run of the engine `id` that began at `started_ms`, or the recorded
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`availability`]: whether an engine takes new requests, why not and until when.
 //! - [`concurrency`]: the adaptive concurrency limit of an endpoint.
 //! - [`crash_suspects`]: prompt segments that crash engines.
+//! - [`departures`]: the departures of engines that the replicated log has committed.
 //! - [`directory`]: the announced engines, by identifier and run.
 //! - [`endpoint_table`]: the known endpoints and the selection among them.
 //! - [`engine_rates`]: how fast a service's engines begin to answer.
@@ -27,6 +28,7 @@
 pub mod availability;
 pub mod concurrency;
 pub mod crash_suspects;
+pub mod departures;
 pub mod directory;
 pub mod endpoint_table;
 pub mod engine_rates;
@@ -49,6 +51,7 @@
 pub use crate::availability::Availability;
 pub use crate::concurrency::ConcurrencyLimit;
 pub use crate::crash_suspects::CrashSuspects;
+pub use crate::departures::Departures;
 pub use crate::directory::Directory;
 pub use crate::endpoint_table::EndpointChoice;
 pub use crate::endpoint_table::EndpointInfo;
