soak: all processes are killed at the same time

Cause: the soak disturbed each process by itself, so that what the memory of the others keeps was never put to the test, not with engines that leave either.

Change: `--blackouts` kills all processes every six to nine seconds; no disk is lost within five seconds of that, as it hasn't caught up.

--- a/crates/mulberryctl/src/command.rs
+++ b/crates/mulberryctl/src/command.rs
@@ -107,6 +107,7 @@
                 "series",
                 "add series of stops, reloads and configurations that overlap",
             );
+            options.optflag("", "blackouts", "also kill all processes at the same time");
             options.optopt(
                 "",
                 "replacements",
@@ -159,6 +160,7 @@
                 folder: matches.opt_str("keep").unwrap_or("soak".to_owned()).into(),
                 departures: matches.opt_present("departures"),
                 series: matches.opt_present("series"),
+                blackouts: matches.opt_present("blackouts"),
                 rollout: rollout_plan(matches)?,
                 replacements: matches.opt_get("replacements")?,
             };
--- a/crates/mulberryctl/src/soak_tool.rs
+++ b/crates/mulberryctl/src/soak_tool.rs
@@ -40,6 +40,8 @@
     pub departures: bool,
     /// Whether planned operations also come in series that overlap.
     pub series: bool,
+    /// Whether all processes are also killed at the same time.
+    pub blackouts: bool,
     /// The rollout of large configurations, instead of the run with faults.
     pub rollout: Option<RolloutPlan>,
     /// Number of machines that are replaced, instead of the run with faults.
@@ -71,6 +73,7 @@
         folder: soak::run::run_folder(&plan.folder, seed),
         departures: plan.departures,
         series: plan.series,
+        blackouts: plan.blackouts,
     })?;
     Ok((serde_json::json!(report), report.breaches.is_empty()))
 }
--- a/crates/mulberryd/tests/soak.rs
+++ b/crates/mulberryd/tests/soak.rs
@@ -1,5 +1,5 @@
-//! Short soak runs of real processes: one seed with faults, one with planned work, and one with
-//! faults while engines leave.
+//! Short soak runs of real processes: one seed with faults, one with planned work, one with
+//! faults while engines leave, and one in which all processes are killed besides.
 //!
 //! Seeds that have failed before are added here, with a line on the cause.
 
@@ -8,7 +8,8 @@
 
 use soak::RunSettings;
 
-fn run_seed(seed: u64, seconds: u64, departures: bool) {
+/// Plays a seed; `departures` and `blackouts` add engines that leave and kills of all processes.
+fn run_seed(seed: u64, seconds: u64, departures: bool, blackouts: bool) {
     let base = std::env::temp_dir().join(format!("soak-{}", std::process::id()));
     let setup = RunSettings {
         seed,
@@ -18,6 +19,7 @@
         folder: soak::run::run_folder(&base, seed),
         departures,
         series: false,
+        blackouts,
     };
     let report = soak::run(&setup).expect("the processes serve");
     assert!(report.breaches.is_empty(), "{report:?}");
@@ -26,16 +28,22 @@
 
 #[test]
 fn faults_violate_no_guarantee() {
-    run_seed(1, 7, false);
+    run_seed(1, 7, false, false);
 }
 
 #[test]
 fn planned_work_interrupts_no_request() {
-    run_seed(5, 7, false);
+    run_seed(5, 7, false, false);
 }
 
 /// Guards against engines that have left and are used again, whatever disturbs the processes.
 #[test]
 fn engines_that_have_left_get_nothing_more() {
-    run_seed(2, 20, true);
+    run_seed(2, 20, true, false);
+}
+
+/// Guards against what is lost with all processes: departures of engines, configurations, tokens.
+#[test]
+fn engines_that_have_left_get_nothing_more_after_blackouts() {
+    run_seed(3, 24, true, true);
 }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -20,6 +20,10 @@
 /// Minimum time between the starts of two series of planned operations, in milliseconds.
 const SERIES_MS: u64 = 3_500;
 
+/// Minimum time between two kills of all processes, and from the last one to the end, in
+/// milliseconds.
+const BLACKOUT_MS: u64 = 6_000;
+
 /// Time without faults at the start and at the end of a run, in milliseconds.
 const FAULT_FREE_MS: (u64, u64) = (1_500, 2_500);
 
@@ -30,6 +34,8 @@
     Kill(usize, u64),
     /// Kills the process, wipes its disk, and restarts it after this time, in milliseconds.
     KillAndWipe(usize, u64),
+    /// Kills all processes and restarts them after this time, in milliseconds.
+    KillAll(u64),
     /// Suspends the process for this time, in milliseconds.
     Suspend(usize, u64),
     /// Asks the process to stop, and restarts it once it has exited.
@@ -81,7 +87,7 @@
             | Self::KillAndWipe(process, _)
             | Self::Suspend(process, _)
             | Self::Stop(process) => Some(process),
-            Self::Reload(_) | Self::Link(..) | Self::Configure(_) => None,
+            Self::KillAll(_) | Self::Reload(_) | Self::Link(..) | Self::Configure(_) => None,
         }
     }
 }
@@ -94,6 +100,7 @@
                 f,
                 "kill process {n} and wipe its disk, restart after {ms} ms"
             ),
+            Self::KillAll(ms) => write!(f, "kill all processes, restart after {ms} ms"),
             Self::Suspend(n, ms) => write!(f, "suspend process {n} for {ms} ms"),
             Self::Stop(n) => write!(f, "stop process {n}"),
             Self::Reload(n) => write!(f, "reload process {n}"),
@@ -185,6 +192,29 @@
     faults
 }
 
+/// Adds kills of all processes to the faults of `seed` within `duration_ms`, and removes the loss
+/// of disks that they could keep from catching up. A seed with planned operations only gets none.
+pub fn add_blackouts(faults: &mut Vec<TimedFault>, seed: u64, duration_ms: u64) {
+    if is_planned_only(seed) {
+        return;
+    }
+    // Another sequence than those of the plan and the series for the same seed.
+    let mut rng = Rng::with_seed(seed.rotate_left(32));
+    let mut blackouts = Vec::new();
+    let mut start = FAULT_FREE_MS.0 + rng.u64(..2_000);
+    while start + BLACKOUT_MS < duration_ms {
+        blackouts.push((start, Fault::KillAll(rng.u64(100..1_000))));
+        start += BLACKOUT_MS + rng.u64(..3_000);
+    }
+    let is_close = |at: u64| {
+        let mut starts = blackouts.iter().map(|&(start, _)| start);
+        starts.any(|start| at.abs_diff(start) < 2 * CATCH_UP_MS)
+    };
+    faults.retain(|&(at, fault)| !(matches!(fault, Fault::KillAndWipe(..)) && is_close(at)));
+    faults.extend(blackouts);
+    faults.sort_by_key(|&(at, _)| at);
+}
+
 /// Returns whether a seed has planned operations only, which must not cut a running
 /// request.
 #[must_use]
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -66,6 +66,8 @@
     pub departures: bool,
     /// Whether planned operations also come in series that overlap.
     pub series: bool,
+    /// Whether all processes are also killed at the same time.
+    pub blackouts: bool,
 }
 
 /// Why a run could not be completed.
@@ -128,6 +130,9 @@
         faults.extend(plan::series(settings.seed, millis(settings.duration)));
         faults.sort_by_key(|&(at, _)| at);
     }
+    if settings.blackouts {
+        plan::add_blackouts(&mut faults, settings.seed, millis(settings.duration));
+    }
     fs::create_dir_all(&settings.folder)?;
     let mut cluster = Cluster::start(settings)?;
     let outcome = cluster.run_plan(&faults);
@@ -332,6 +337,13 @@
                 }
                 self.recoveries[index] = Some((after(ms), Recovery::Restart));
             }
+            Fault::KillAll(ms) => {
+                for index in 0..self.processes.len() {
+                    self.oracle.record_disturbance(index);
+                    self.processes[index].kill();
+                    self.recoveries[index] = Some((after(ms), Recovery::Restart));
+                }
+            }
             Fault::Suspend(index, ms) if self.recoveries[index].is_none() => {
                 self.processes[index].signal(Signal::STOP);
                 self.recoveries[index] = Some((after(ms), Recovery::Resume));
--- a/crates/soak/tests/plan.rs
+++ b/crates/soak/tests/plan.rs
@@ -10,7 +10,7 @@
     match *fault {
         Fault::Kill(n, ms) | Fault::KillAndWipe(n, ms) | Fault::Suspend(n, ms) => Some((n, ms)),
         Fault::Stop(n) => Some((n, 2_500)),
-        Fault::Reload(_) | Fault::Link(..) | Fault::Configure(_) => None,
+        Fault::KillAll(_) | Fault::Reload(_) | Fault::Link(..) | Fault::Configure(_) => None,
     }
 }
 
@@ -70,3 +70,26 @@
         }
     }
 }
+
+/// Guards against a plan that loses more disks than the processes bear: one that was lost shortly
+/// before or after the end of all processes hasn't caught up.
+#[test]
+fn blackouts_come_apart_from_lost_disks_and_not_beside_planned_operations() {
+    let mut count = 0;
+    for seed in 0..200 {
+        let mut faults = plan::generate(seed, 40_000);
+        plan::add_blackouts(&mut faults, seed, 40_000);
+        assert!(faults.is_sorted_by_key(|&(at, _)| at));
+        let times = |wanted: fn(&Fault) -> bool| {
+            let found = faults.iter().filter(move |(_, fault)| wanted(fault));
+            found.map(|&(at, _)| at)
+        };
+        let blackouts: Vec<u64> = times(|fault| matches!(fault, Fault::KillAll(_))).collect();
+        assert_eq!(blackouts.is_empty(), plan::is_planned_only(seed));
+        count += blackouts.len();
+        for lost in times(|fault| matches!(fault, Fault::KillAndWipe(..))) {
+            assert!(blackouts.iter().all(|at| at.abs_diff(lost) >= 5_000));
+        }
+    }
+    assert!(count > 200, "{count} blackouts");
+}
