gateway: a process that hasn't heard of a replica doesn't go by memory

A process that has just started and has met only peers without a disk, or one whose replicas have all been down for longer than peers are remembered, took the site for one without a log: it acknowledged on the memory of a peer, and used engines without asking the leader.

Change: a site has a log if a replica is known or a configuration is in force, which only a log accepts. A process that has just started waits until it has heard of a replica or its time for peers is over, and acknowledges nothing on memory before that. A command that isn't recorded is published to nobody. A departure that is held already is acknowledged without a line in the log.

Evidence: a_process_that_has_started_waits_until_it_has_heard_of_a_replica failed without the change of the view.

--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -32,6 +32,8 @@
     peers_until: Time,
     /// Until when it waits for the replicated log.
     log_until: Time,
+    /// Whether it has just started, so that it may not have heard of a replica yet.
+    is_start: bool,
 }
 
 /// How a view became current.
@@ -66,6 +68,7 @@
                 since: now,
                 peers_until,
                 log_until: now + LOG_TIMEOUT,
+                is_start: true,
             }),
             unconfirmed: waits.then_some(now),
         }
@@ -79,6 +82,7 @@
                 since: now,
                 peers_until: now + UPDATE_TIMEOUT,
                 log_until: now + UPDATE_TIMEOUT,
+                is_start: false,
             });
             self.unconfirmed = Some(now);
         }
@@ -105,9 +109,10 @@
     /// leader, or because the time for them is over.
     pub fn settle(&mut self, peers: &PeerTable, now: Time) -> Option<Settled> {
         let wait = self.wait?;
+        let has_no_log = !peers.knows_replica() && (!wait.is_start || now >= wait.peers_until);
         let settled = Settled {
             peers: peers.has_asked(wait.since),
-            log: self.unconfirmed.is_none() || !peers.knows_replica(),
+            log: self.unconfirmed.is_none() || has_no_log,
         };
         let is_over =
             (settled.peers || now >= wait.peers_until) && (settled.log || now >= wait.log_until);
--- a/crates/fleet/tests/view.rs
+++ b/crates/fleet/tests/view.rs
@@ -156,3 +156,24 @@
     view.confirm(at(60));
     assert!(view.settle(&table, at(60)).is_some() && view.is_current(at(60)));
 }
+
+/// Guards against a process that has just started, has met a peer without a replica, and takes the
+/// site for one without a log.
+#[test]
+fn a_process_that_has_started_waits_until_it_has_heard_of_a_replica() {
+    let mut table = table(2, at(0));
+    let mut view = View::open(false, false, at(0));
+    view.begin_round(at(400));
+    exchange(&mut table, 1, at(400), at(410));
+    assert!(table.has_asked(at(0)) && !table.knows_replica());
+    assert!(view.settle(&table, at(410)).is_none());
+    let replica = Member {
+        keeper: Some(KeeperId(1)),
+        ..member(2)
+    };
+    table.hear(&replica, at(420));
+    assert!(view.settle(&table, at(1_600)).is_none());
+    view.confirm(at(1_650));
+    view.begin_round(at(1_300));
+    assert!(view.settle(&table, at(1_700)).is_some());
+}
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -164,14 +164,18 @@
     told: EngineAnnouncement,
     since: Time,
 ) -> Result<(), DepartureError> {
+    if is_held(shared, &told, since) {
+        return Ok(());
+    }
     let id = told.id.clone();
-    let has_log = shared.state().peers.knows_replica();
+    let has_log = shared.state().has_log();
     let commit = async { has_log && departures::commit(shared, told).await };
     let (is_committed, spread) = future::zip(commit, await_spread(shared, &id, since)).await;
     let cause = match spread {
         _ if is_committed => None,
         _ if has_log => Some(DepartureError::NotCommitted),
-        Some(spread) if !spread.is_enough() => Some(DepartureError::NotHeld),
+        // A process that has just started may not have heard of a replica.
+        Some(spread) if !spread.is_enough() || !knows_site(shared) => Some(DepartureError::NotHeld),
         _ => None,
     };
     let Spread { holders, pending } = spread.unwrap_or_default();
@@ -188,6 +192,18 @@
     Ok(())
 }
 
+/// Returns whether a departure that an engine repeats is held already.
+fn is_held(shared: &ProcessContext, told: &EngineAnnouncement, now: Time) -> bool {
+    let state = shared.state();
+    let is_spread = state.peers.spread(&told.id, now).is_complete();
+    state.departures.covers(told) && (is_spread || state.is_alone(&shared.own_member))
+}
+
+/// Returns whether this process has had the time to hear of the other processes.
+fn knows_site(shared: &ProcessContext) -> bool {
+    shared.state().view.is_current(shared.now())
+}
+
 /// Waits until the peers that this process reaches hold the state of the engine `id`, or have
 /// had the time to confirm it. Returns how many do; `None` if the site has no other process.
 async fn await_spread(shared: &ProcessContext, id: &str, since: Time) -> Option<Spread> {
--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -916,7 +916,9 @@
             _ => None,
         };
         let outcome = self.local.state.apply(command, entry.time_ms);
-        if let Some(announcement) = departed {
+        if let Some(announcement) = departed
+            && outcome == Outcome::DepartureRecorded(true)
+        {
             (self.options.output)(Output::Departed(vec![announcement]));
         }
         if self.local.state.evacuations.revision > revision {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -371,6 +371,13 @@
         self.leader = found.map(|peer| peer.member.address);
     }
 
+    /// Returns whether the site has a replicated log: a replica is known, or a configuration is in
+    /// force, which only a log accepts.
+    #[must_use]
+    pub fn has_log(&self) -> bool {
+        self.peers.knows_replica() || self.held_config.version() > 0
+    }
+
     /// Returns whether the site has no other process, as far as this one knows.
     #[must_use]
     pub fn is_alone(&self, own: &Member) -> bool {
