--- a/crates/soak/src/departures.rs
+++ b/crates/soak/src/departures.rs
@@ -42,8 +42,10 @@
 }
 
 /// The time for which an engine wants nothing from a process.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Hold {
+    /// The request that was turned away.
+    told: String,
     from_ms: u64,
     end_ms: u64,
     arrivals: u32,
@@ -75,6 +77,7 @@
         let arrives = !self.faulty_links.contains(engine);
         if let Some(&(process, _)) = self.sent.get(id).filter(|_| arrives) {
             let hold = Hold {
+                told: id.to_owned(),
                 from_ms: now_ms + REACTION_MS,
                 end_ms: now_ms + span_ms,
                 arrivals: 0,
@@ -105,7 +108,8 @@
             hold.arrivals += 1;
             if hold.arrivals == MAX_ARRIVALS + 1 {
                 return Some(format!(
-                    "budget: {id} is one request too many from process {process} before {engine} wants some"
+                    "budget: {id} is one request too many from process {process} before {engine} wants some, as it answered {}",
+                    hold.told
                 ));
             }
         }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -192,8 +192,9 @@
     faults
 }
 
-/// Adds kills of all processes to the faults of `seed` within `duration_ms`, and removes the loss
-/// of disks that they could keep from catching up. A seed with planned operations only gets none.
+/// Adds kills of all processes to the faults of `seed` within `duration_ms`. Removes the loss of
+/// disks that they could keep from catching up, and configurations that nobody could accept. A seed
+/// with planned operations only gets none.
 pub fn add_blackouts(faults: &mut Vec<TimedFault>, seed: u64, duration_ms: u64) {
     if is_planned_only(seed) {
         return;
@@ -206,11 +207,16 @@
         blackouts.push((start, Fault::KillAll(rng.u64(100..1_000))));
         start += BLACKOUT_MS + rng.u64(..3_000);
     }
-    let is_close = |at: u64| {
-        let mut starts = blackouts.iter().map(|&(start, _)| start);
-        starts.any(|start| at.abs_diff(start) < 2 * CATCH_UP_MS)
-    };
-    faults.retain(|&(at, fault)| !(matches!(fault, Fault::KillAndWipe(..)) && is_close(at)));
+    let starts: Vec<u64> = blackouts.iter().map(|&(start, _)| start).collect();
+    faults.retain(|&(at, fault)| match fault {
+        Fault::KillAndWipe(..) => starts
+            .iter()
+            .all(|&start| at.abs_diff(start) >= 2 * CATCH_UP_MS),
+        Fault::Configure(_) => starts
+            .iter()
+            .all(|&start| !(start..start + CATCH_UP_MS).contains(&at)),
+        _ => true,
+    });
     faults.extend(blackouts);
     faults.sort_by_key(|&(at, _)| at);
 }
