mulberryd: departures beside cut links, slow machines, full disks and other seeds

Cause: around a departure only kills, freezes and planned stops were played on real processes.

Change: a series drawn from a seed, with emulated links and limits on the size of files: one gateway with a disk and, in half of the cases, one without are disturbed before or after an engine deregisters; all gateways are killed afterwards in half of the cases; then a heartbeat from before arrives at each. Clock steps aren't played: they would need privileges.

--- a/crates/mulberryd/tests/departures.rs
+++ b/crates/mulberryd/tests/departures.rs
@@ -3,8 +3,10 @@
 use std::fs;
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
+use std::os::unix::fs::PermissionsExt as _;
 use std::path::Path;
 use std::path::PathBuf;
+use std::sync::PoisonError;
 use std::thread;
 use std::time::Duration;
 
@@ -12,9 +14,16 @@
 use platform::test_support;
 use routing::directory::EngineAnnouncement;
 use routing::directory::Phase;
+use rustix::process::Pid;
+use rustix::process::Resource;
+use rustix::process::Rlimit;
 use rustix::process::Signal;
 use soak::caller;
+use soak::link::LinkEnd;
+use soak::link::LinkLimits;
+use soak::link::Network;
 use soak::oracle::Oracle;
+use soak::plan::PeerLinkMode;
 use soak::process::Process;
 use soak::setup;
 
@@ -53,23 +62,76 @@
     seed.and_then(|text| text.parse().ok()).unwrap_or(default)
 }
 
+/// Emulates the links of the gateways, which advertise a port of the relay from now on.
+fn spawn_links(gateways: &mut [Process], port: u16) -> Network {
+    let limits = LinkLimits {
+        rate: 12_000_000,
+        delay: Duration::from_millis(1),
+        queue_bytes: 1 << 20,
+    };
+    let ends = gateways.iter_mut().map(|gateway| {
+        let bound = gateway.peer_address();
+        let advertised = SocketAddrV4::new(*bound.ip(), port);
+        gateway.advertise(advertised);
+        LinkEnd {
+            bound,
+            advertised,
+            limits,
+        }
+    });
+    let ends: Vec<LinkEnd> = ends.collect();
+    Network::spawn(&ends).expect("bound")
+}
+
+/// Writes a program that starts the daemon without the signal that ends a process whose file
+/// would exceed its limit.
+fn write_launcher(folder: &Path) -> PathBuf {
+    let path = folder.join("launch");
+    let daemon = env!("CARGO_BIN_EXE_mulberryd");
+    let script = format!("#!/bin/sh\ntrap '' XFSZ\nexec '{daemon}' \"$@\"\n");
+    fs::write(&path, script).expect("written");
+    fs::set_permissions(&path, fs::Permissions::from_mode(0o755)).expect("set");
+    path
+}
+
 /// Gateways that know one engine, which sends no heartbeats of its own.
 struct Site {
     folder: PathBuf,
     gateways: Vec<Process>,
     addresses: Vec<SocketAddrV4>,
     engine: EngineAnnouncement,
+    /// The program that is started for a gateway.
+    program: PathBuf,
+    /// The links between gateways, if they are emulated.
+    network: Option<Network>,
 }
 
 impl Site {
     fn start(name: &str) -> Self {
+        Self::open(name, false)
+    }
+
+    /// Starts gateways whose links can be disturbed and whose disks can be full.
+    fn start_with_links(name: &str) -> Self {
+        Self::open(name, true)
+    }
+
+    fn open(name: &str, has_links: bool) -> Self {
         let folder = std::env::temp_dir().join(format!("departures-{name}-{}", std::process::id()));
         let _ = fs::remove_dir_all(&folder);
-        let port = setup::find_free_ports(4);
+        fs::create_dir_all(&folder).expect("created");
+        let port = setup::find_free_ports(5);
         let gateways = (0..GATEWAYS).map(|index| Process::new(&folder, index, port, index < 3));
-        let gateways: Vec<Process> = gateways.collect();
+        let mut gateways: Vec<Process> = gateways.collect();
+        let network = has_links.then(|| spawn_links(&mut gateways, port + 4));
         let addresses = gateways.iter().map(|gateway| gateway.control_address);
         let mut site = Self {
+            program: if has_links {
+                write_launcher(&folder)
+            } else {
+                env!("CARGO_BIN_EXE_mulberryd").into()
+            },
+            network,
             addresses: addresses.collect(),
             gateways,
             engine: setup::announcement("e", "list", SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9)),
@@ -88,10 +150,14 @@
     }
 
     fn start_gateway(&mut self, index: usize, is_first: bool) {
-        let daemon = Path::new(env!("CARGO_BIN_EXE_mulberryd"));
-        let seeds = &self.addresses[..3];
+        let seeds = self.addresses[..3].to_vec();
+        self.start_with_seeds(index, &seeds, is_first);
+    }
+
+    fn start_with_seeds(&mut self, index: usize, seeds: &[SocketAddrV4], is_first: bool) {
         let gateway = &mut self.gateways[index];
-        gateway.start(daemon, seeds, is_first).expect("started");
+        let started = gateway.start(&self.program, seeds, is_first);
+        started.expect("started");
     }
 
     fn post(&self, index: usize, (path, body): (String, String)) -> Option<u16> {
@@ -420,3 +486,141 @@
         }
     }
 }
+
+/// What disturbs a gateway while an engine leaves, besides its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Disturbance {
+    /// Its link loses everything, or what it sends, or is slow.
+    Link(PeerLinkMode),
+    /// It runs a fifth of the time.
+    Slow,
+    /// Its disk, and that of its log, refuse writes.
+    FullDisk,
+    /// It is killed, and starts with other seeds: two gateways without a disk and one with.
+    Seeds,
+}
+
+impl Disturbance {
+    const ALL: [Self; 6] = [
+        Self::Link(PeerLinkMode::Cut),
+        Self::Link(PeerLinkMode::Silent),
+        Self::Link(PeerLinkMode::Slow),
+        Self::Slow,
+        Self::FullDisk,
+        Self::Seeds,
+    ];
+
+    fn begin(self, site: &mut Site, index: usize) {
+        match self {
+            Self::Link(mode) => site.links().set_mode(index, mode),
+            Self::FullDisk => site.set_full(index, true),
+            Self::Slow => {}
+            Self::Seeds => site.gateways[index].kill(),
+        }
+    }
+
+    fn end(self, site: &mut Site, index: usize) {
+        match self {
+            Self::Link(_) => site.links().set_mode(index, PeerLinkMode::Open),
+            Self::FullDisk => site.set_full(index, false),
+            Self::Slow => site.gateways[index].signal(Signal::CONT),
+            Self::Seeds => {
+                let seeds = [2, 3, 4].map(|seed| site.addresses[seed]);
+                site.start_with_seeds(index, &seeds, false);
+            }
+        }
+    }
+}
+
+impl Site {
+    fn links(&self) -> &Network {
+        self.network.as_ref().expect("emulated links")
+    }
+
+    fn set_full(&self, index: usize, is_full: bool) {
+        let running = self.gateways[index].running();
+        let running = running.lock().unwrap_or_else(PoisonError::into_inner);
+        let pid = running.pid().expect("it runs");
+        let pid = Pid::from_raw(i32::try_from(pid).expect("a process identifier"));
+        let limit = Rlimit {
+            current: is_full.then_some(0),
+            maximum: None,
+        };
+        rustix::process::prlimit(pid, Resource::Fsize, limit).expect("a limit of an own process");
+    }
+
+    /// Lets the time pass; gateways that are slow run a fifth of it.
+    fn pass(&self, disturbed: &[(usize, Disturbance)], span: Duration) {
+        let slow = disturbed
+            .iter()
+            .filter(|(_, how)| *how == Disturbance::Slow);
+        let slow: Vec<usize> = slow.map(|&(index, _)| index).collect();
+        for _ in 0..span.as_millis() / POLL_INTERVAL.as_millis() {
+            for &index in &slow {
+                self.gateways[index].signal(Signal::STOP);
+            }
+            thread::sleep(POLL_INTERVAL * 4 / 5);
+            for &index in &slow {
+                self.gateways[index].signal(Signal::CONT);
+            }
+            thread::sleep(POLL_INTERVAL / 5);
+        }
+    }
+}
+
+/// Disturbs one gateway with a disk and one without around a departure, as drawn from `rng`, and
+/// in half of the cases kills all gateways afterwards.
+fn depart_disturbed(site: &mut Site, rng: &mut Rng) {
+    let span = |rng: &mut Rng, max_ms| Duration::from_millis(rng.u64(..max_ms));
+    let mut disturbed = vec![(rng.usize(..3), rng.choice(Disturbance::ALL).expect("some"))];
+    let how = rng.choice(Disturbance::ALL).expect("some");
+    if how != Disturbance::FullDisk && rng.bool() {
+        disturbed.push((3 + rng.usize(..2), how));
+    }
+    let is_before = rng.bool();
+    if is_before {
+        for &(index, how) in &disturbed {
+            how.begin(site, index);
+        }
+        site.pass(&disturbed, span(rng, 2_000));
+    }
+    let first = rng.usize(..site.gateways.len());
+    let acknowledged = (0..MAX_POLLS).any(|n| {
+        let to = (first + n as usize) % site.gateways.len();
+        site.pass(&disturbed, POLL_INTERVAL);
+        site.deregister(to) == Some(200)
+    });
+    assert!(acknowledged, "nobody acknowledges, {disturbed:?}");
+    if !is_before {
+        for &(index, how) in &disturbed {
+            how.begin(site, index);
+        }
+    }
+    site.pass(&disturbed, span(rng, 2_500));
+    for &(index, how) in &disturbed {
+        how.end(site, index);
+    }
+    if rng.bool() {
+        thread::sleep(span(rng, 500));
+        site.restart_all(None);
+    }
+}
+
+/// Guards against engines that have left and are used again: links that are cut or slow, slow
+/// machines, full disks, exchanged seeds and the end of all gateways, at moments drawn from a seed.
+#[test]
+fn departures_outlive_disturbances_at_moments_drawn_from_a_seed() {
+    let mut rng = Rng::with_seed(seed_or(51));
+    let mut site = Site::start_with_links(&format!("disturbed-{}", rng.get_seed()));
+    for departure in 1..=DEPARTURES {
+        depart_disturbed(&mut site, &mut rng);
+        site.expect_ended_after_a_late_heartbeat(departure);
+        site.engine = setup::announcement(&format!("e{departure}"), "list", site.engine.address);
+        for index in 0..site.gateways.len() {
+            assert!(site.beat(index), "gateway {index}");
+        }
+        for index in 0..site.gateways.len() {
+            site.wait_for(index, AVAILABLE);
+        }
+    }
+}
