soak: a Retry-After to a request that a link held back isn't counted

Change: an engine's `Retry-After` counts if its request was sent when the link was sound already. One to a request that is sent after that counts as before.

--- a/crates/soak/src/departures.rs
+++ b/crates/soak/src/departures.rs
@@ -36,6 +36,8 @@
     deregistered: BTreeMap<String, u64>,
     /// Engines whose link delays or loses answers.
     faulty_links: BTreeSet<String>,
+    /// When the link of an engine became sound again.
+    mended_links: BTreeMap<String, u64>,
     /// When a process was disturbed last.
     disturbed: BTreeMap<usize, u64>,
     reported: BTreeSet<Pair>,
@@ -74,8 +76,11 @@
     /// Records that an engine turned a request away and wants nothing from its process for
     /// `span_ms`.
     pub fn turn_away(&mut self, id: &str, engine: &str, span_ms: u64, now_ms: u64) {
-        let arrives = !self.faulty_links.contains(engine);
-        if let Some(&(process, _)) = self.sent.get(id).filter(|_| arrives) {
+        let mended = self.mended_links.get(engine).copied().unwrap_or(0);
+        // The process of a request that a link has held back may have given it up.
+        let arrives = |sent_ms: u64| !self.faulty_links.contains(engine) && sent_ms >= mended;
+        let sent = self.sent.get(id);
+        if let Some(&(process, _)) = sent.filter(|&&(_, sent_ms)| arrives(sent_ms)) {
             let hold = Hold {
                 told: id.to_owned(),
                 from_ms: now_ms + REACTION_MS,
@@ -129,9 +134,10 @@
     }
 
     /// Records whether answers of an engine arrive. What is on its way when they stop may be lost.
-    pub fn set_link(&mut self, engine: &str, is_sound: bool) {
+    pub fn set_link(&mut self, engine: &str, is_sound: bool, now_ms: u64) {
         if is_sound {
             self.faulty_links.remove(engine);
+            self.mended_links.insert(engine.to_owned(), now_ms);
         } else {
             self.faulty_links.insert(engine.to_owned());
             self.holds.retain(|(_, other), _| other != engine);
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -123,7 +123,7 @@
 
     /// Records whether the link to an engine forwards its answers.
     pub fn record_link(&self, engine: &str, is_sound: bool) {
-        self.departures().set_link(engine, is_sound);
+        self.departures().set_link(engine, is_sound, self.now_ms());
     }
 
     /// Records that an engine starts again.
