--- a/crates/mulberryd/tests/departures.rs
+++ b/crates/mulberryd/tests/departures.rs
@@ -3,8 +3,6 @@
 use std::fs;
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
-use std::os::unix::fs::PermissionsExt as _;
-use std::path::Path;
 use std::path::PathBuf;
 use std::sync::PoisonError;
 use std::thread;
@@ -83,17 +81,6 @@
     Network::spawn(&ends).expect("bound")
 }
 
-/// Writes a program that starts the daemon without the signal that ends a process whose file
-/// would exceed its limit.
-fn write_launcher(folder: &Path) -> PathBuf {
-    let path = folder.join("launch");
-    let daemon = env!("CARGO_BIN_EXE_mulberryd");
-    let script = format!("#!/bin/sh\ntrap '' XFSZ\nexec '{daemon}' \"$@\"\n");
-    fs::write(&path, script).expect("written");
-    fs::set_permissions(&path, fs::Permissions::from_mode(0o755)).expect("set");
-    path
-}
-
 /// Gateways that know one engine, which sends no heartbeats of its own.
 struct Site {
     folder: PathBuf,
@@ -127,7 +114,7 @@
         let addresses = gateways.iter().map(|gateway| gateway.control_address);
         let mut site = Self {
             program: if has_links {
-                write_launcher(&folder)
+                setup::write_launcher(&folder, env!("CARGO_BIN_EXE_mulberryd")).expect("written")
             } else {
                 env!("CARGO_BIN_EXE_mulberryd").into()
             },
--- a/crates/mulberryd/tests/full_disks.rs
+++ b/crates/mulberryd/tests/full_disks.rs
@@ -10,7 +10,6 @@
 use std::net::SocketAddrV4;
 use std::net::TcpListener;
 use std::net::UdpSocket;
-use std::os::unix::fs::PermissionsExt as _;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
@@ -94,17 +93,6 @@
     folder
 }
 
-/// Writes a program that starts the daemon without the signal that ends a process whose file
-/// would exceed the limit.
-fn write_launcher(folder: &Path) -> PathBuf {
-    let path = folder.join("launch");
-    let daemon = env!("CARGO_BIN_EXE_mulberryd");
-    let script = format!("#!/bin/sh\ntrap '' XFSZ\nexec '{daemon}' \"$@\"\n");
-    fs::write(&path, script).expect("written");
-    fs::set_permissions(&path, fs::Permissions::from_mode(0o755)).expect("set");
-    path
-}
-
 /// Returns the first of [`MAX_PORTS`] consecutive ports that are free for TCP and UDP.
 fn find_free_ports() -> u16 {
     loop {
@@ -149,7 +137,8 @@
             first_port: find_free_ports(),
         };
         init::create_site(&folder, &plan).expect("a site");
-        let launcher = write_launcher(&folder);
+        let launcher =
+            setup::write_launcher(&folder, env!("CARGO_BIN_EXE_mulberryd")).expect("written");
         let children = (0..KEEPERS).map(|n| {
             let log = File::create(folder.join(format!("keeper-{n}.log"))).expect("created");
             Command::new(&launcher)
@@ -276,7 +265,8 @@
 /// Fills the disks of `count` gateways, one after the other.
 fn fill_disks_of_gateways(name: &str, count: u8) {
     let folder = scratch_folder(name);
-    let launcher = write_launcher(&folder);
+    let launcher =
+        setup::write_launcher(&folder, env!("CARGO_BIN_EXE_mulberryd")).expect("written");
     let port = setup::find_free_ports(4);
     let mut gateways: Vec<Process> = (0..count)
         .map(|index| Process::new(&folder, index, port, true))
--- a/crates/soak/src/setup.rs
+++ b/crates/soak/src/setup.rs
@@ -1,9 +1,14 @@
 //! Free ports, and the announcements of fake engines.
 
+use std::fs;
+use std::io;
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
 use std::net::TcpListener;
 use std::net::UdpSocket;
+use std::os::unix::fs::PermissionsExt as _;
+use std::path::Path;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -48,6 +53,20 @@
     }
 }
 
+/// Writes a program to `folder` that starts `daemon` without the signal that ends a process whose
+/// file would exceed its limit; the write fails instead.
+///
+/// # Errors
+///
+/// Fails if the file can't be written.
+pub fn write_launcher(folder: &Path, daemon: &str) -> io::Result<PathBuf> {
+    let path = folder.join("launch");
+    let script = format!("#!/bin/sh\ntrap '' XFSZ\nexec '{daemon}' \"$@\"\n");
+    fs::write(&path, script)?;
+    fs::set_permissions(&path, fs::Permissions::from_mode(0o755))?;
+    Ok(path)
+}
+
 /// Announces the engines periodically, each round starting at another process, until
 /// `finished` is set.
 pub fn spawn_announcer(
