--- a/crates/mulberryd/tests/departures.rs
+++ b/crates/mulberryd/tests/departures.rs
@@ -204,6 +204,17 @@
         }
     }
 
+    /// Another engine takes the place of the one that has left, and all gateways know it.
+    fn replace_engine(&mut self, number: usize) {
+        self.engine = setup::announcement(&format!("e{number}"), "list", self.engine.address);
+        for index in 0..self.gateways.len() {
+            assert!(self.beat(index), "gateway {index}");
+        }
+        for index in 0..self.gateways.len() {
+            self.wait_for(index, AVAILABLE);
+        }
+    }
+
     fn wait_for(&self, index: usize, line: &str) {
         let shown = (0..MAX_POLLS).any(|_| {
             thread::sleep(POLL_INTERVAL);
@@ -340,13 +351,7 @@
         let lost = rng.bool().then(|| rng.usize(..3));
         site.restart_all(lost);
         site.expect_ended_after_a_late_heartbeat(departure);
-        site.engine = setup::announcement(&format!("e{departure}"), "list", site.engine.address);
-        for index in 0..site.gateways.len() {
-            assert!(site.beat(index), "gateway {index}");
-        }
-        for index in 0..site.gateways.len() {
-            site.wait_for(index, AVAILABLE);
-        }
+        site.replace_engine(departure);
     }
 }
 
@@ -602,12 +607,6 @@
     for departure in 1..=DEPARTURES {
         depart_disturbed(&mut site, &mut rng);
         site.expect_ended_after_a_late_heartbeat(departure);
-        site.engine = setup::announcement(&format!("e{departure}"), "list", site.engine.address);
-        for index in 0..site.gateways.len() {
-            assert!(site.beat(index), "gateway {index}");
-        }
-        for index in 0..site.gateways.len() {
-            site.wait_for(index, AVAILABLE);
-        }
+        site.replace_engine(departure);
     }
 }
