gateway: a leader that joined late continues the time of the log

Callers saw 503 with GrantUnavailable(HeldByOthers) for half a minute after a machine with a disk was replaced and another lost its disk: grants of the replaced machine stayed with its ended lease.

Cause: the time of the log, by which leases and departures age, was the time of the last entry as a replica was opened, and its own clock since. One that joins with an empty log begins at zero. As the leader, it writes entries with the time of the last one it has, until its own clock has caught up with the log's, which on an old site takes as long as the site is old: no lease of a vanished process ends, and no departure is forgotten, so that after 8,192 of them every further one is refused. The other way round, a replica that waits for its group for an hour would have aged both by that hour.

The lease of the machine replaced at 10.3 s was closed at 42.1 s, when the leader that had joined at 12.1 s counted 10 s more than the 20 s of its last use.

Now the clock follows the entries that it receives, and the time of an empty log hasn't begun.

--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -19,6 +19,7 @@
 
 use async_channel::Sender;
 use base::KeeperId;
+use base::Span;
 use consensus::Effects;
 use consensus::Entry;
 use consensus::Envelope;
@@ -50,6 +51,7 @@
 use crate::input_queue;
 use crate::input_queue::InputReceiver;
 use crate::input_queue::InputSender;
+use crate::log_clock::LogClock;
 use crate::replicated_state::Command;
 use crate::replicated_state::Outcome;
 use crate::replicated_state::ReplicatedState;
@@ -80,7 +82,7 @@
 
 /// Time without a draw after which the lease of an entry that no process hears is
 /// closed. Partitions of single instances are shorter.
-const HOLDER_TIMEOUT: Duration = Duration::from_secs(10);
+const HOLDER_TIMEOUT: Span = Span::secs(10);
 
 /// Time between two logs of the teams' balances.
 const SUMS_LOG_INTERVAL: Duration = Duration::from_secs(5);
@@ -423,9 +425,8 @@
     /// Whether the local replica's address was proposed in this term.
     address_proposed: bool,
     stop_reply: Option<Sender<()>>,
-    started_at: Instant,
+    clock: LogClock,
     sums_logged: Instant,
-    base_ms: u64,
 }
 
 /// Runs the thread until [`Input::Stop`].
@@ -473,7 +474,6 @@
 
 impl<'a> Driver<'a> {
     fn new(options: &'a GroupOptions, local: LocalReplica) -> Self {
-        let base_ms = local.replica.log().last_time_ms();
         let applied_index = local.replica.log().snapshot().position.index;
         Self {
             options,
@@ -493,9 +493,8 @@
             bound: LogBound::new(options.quota_bytes, options.memory_bytes),
             address_proposed: false,
             stop_reply: None,
-            started_at: Instant::now(),
+            clock: LogClock::open(Instant::now()),
             sums_logged: Instant::now(),
-            base_ms,
         }
     }
 
@@ -521,7 +520,7 @@
                     .flatten();
             }
             if ticker.take_due(Instant::now()) {
-                let at = self.base_ms + duration_ms(self.started_at.elapsed());
+                let at = self.log_time_ms();
                 let effects = self.local.replica.tick(at);
                 self.effects.merge(effects);
                 self.propose_own_address();
@@ -563,6 +562,13 @@
         }
     }
 
+    /// Returns the time of the log, in milliseconds.
+    fn log_time_ms(&mut self) -> u64 {
+        let replica = &self.local.replica;
+        let last_ms = (!replica.is_uninitialized()).then(|| replica.log().last_time_ms());
+        self.clock.read(last_ms, Instant::now())
+    }
+
     /// Logs the teams' balances and their sums if this replica leads.
     fn log_sums(&mut self) {
         if self.local.replica.role() != Role::Leader
@@ -737,8 +743,8 @@
         if self.local.replica.role() != Role::Leader {
             return;
         }
-        let now = self.base_ms + duration_ms(self.started_at.elapsed());
-        let before = live.map_or(0, |_| now.saturating_sub(duration_ms(HOLDER_TIMEOUT)));
+        let now = self.log_time_ms();
+        let before = live.map_or(0, |_| now.saturating_sub(HOLDER_TIMEOUT.as_millis()));
         let allowances = &self.local.state.allowances;
         let ended = allowances.ended_leases(before, live.unwrap_or_default());
         let members = self.local.replica.members().clone();
@@ -1080,7 +1086,3 @@
         }
     }
 }
-
-fn duration_ms(span: Duration) -> u64 {
-    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 //! - [`intake`]: the connections of a listener, and what requests may hold.
 //! - [`leader_requests`]: requests to the group's leader, and joining the group.
 //! - [`load_monitor`]: how late the process is, and whether it passes callers on.
+//! - [`log_clock`]: the time of the replicated log.
 //! - [`membership`]: the number of voters and the replacement of absent ones.
 //! - [`mesh`]: state updates between processes.
 //! - [`metrics`]: request counters and latency histograms.
@@ -56,6 +57,7 @@
 pub mod intake;
 pub mod leader_requests;
 pub mod load_monitor;
+pub mod log_clock;
 pub mod membership;
 pub mod mesh;
 pub mod metrics;
--- a/crates/routing/src/departures.rs
+++ b/crates/routing/src/departures.rs
@@ -3,7 +3,7 @@
 //! The phase of a run only advances and a later run replaces an earlier one, so a departure may
 //! be recorded again, and processes may learn of it in any order. It is kept for as long as
 //! announcements of its run may still arrive, by the time of the log, which stands still while
-//! no replica leads.
+//! no replica runs.
 
 use std::collections::BTreeMap;
 
