gateway: the lease of a silent process ends after ten seconds

Cause: a lease ends once its process has drawn nothing for ten seconds and no process hears it. What was asked is whether the leader remembers the process, which it does for fifteen seconds and by the mentions of others for longer.

Now a lease is live if its process was heard of within those ten seconds. A leader that stood still asks before it judges. Closing a lease early costs no token: its witnesses are fenced first, as before.

--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -80,9 +80,9 @@
 /// Size in bytes of an input besides its configuration or entries.
 const INPUT_OVERHEAD_BYTES: u64 = 512;
 
-/// Time without a draw after which the lease of an entry that no process hears is
-/// closed. Partitions of single instances are shorter.
-const HOLDER_TIMEOUT: Span = Span::secs(10);
+/// Time without a draw after which the lease of an entry is closed that no process has heard
+/// for as long. Partitions of single instances are shorter.
+pub const HOLDER_TIMEOUT: Span = Span::secs(10);
 
 /// Time between two logs of the teams' balances.
 const SUMS_LOG_INTERVAL: Duration = Duration::from_secs(5);
--- a/crates/gateway/src/settlement.rs
+++ b/crates/gateway/src/settlement.rs
@@ -7,12 +7,15 @@
 use async_io::Timer;
 use base::KeeperId;
 use base::Span;
+use base::Time;
 use fleet::mesh::MeshRequest;
 use fleet::mesh::MeshResponse;
+use fleet::peers::PeerTable;
 use ledger::quorum;
 use ledger::quorum::Settlement;
 
 use crate::group::Group;
+use crate::group::HOLDER_TIMEOUT;
 use crate::group::Input;
 use crate::group::SettlingLease;
 use crate::peer_requests::request_peer;
@@ -43,10 +46,14 @@
             if state.leader != Some(shared.own_member.address) {
                 continue;
             }
-            // A process that has just started hasn't heard from all others yet.
-            let heard = Span(shared.now().0) > HEARING_TIME;
-            let peers = state.peers.values().map(|peer| peer.lease_id);
-            heard.then(|| peers.chain([state.grants.lease_id()]).collect())
+            // A process that has just started or stood still hasn't heard from all others yet.
+            let now = shared.now();
+            let has_heard = Span(now.0) > HEARING_TIME && state.view.is_current(now);
+            has_heard.then(|| {
+                let mut live = peer_leases(&state.peers, now);
+                live.push(state.grants.lease_id());
+                live
+            })
         };
         let (reply, answer) = async_channel::bounded(1);
         group.send(Input::ListEndedLeases(live, reply));
@@ -58,6 +65,16 @@
     }
 }
 
+/// Returns the leases of the peers that may still run: those heard of within
+/// [`HOLDER_TIMEOUT`].
+#[must_use]
+pub fn peer_leases(peers: &PeerTable, now: Time) -> Vec<u64> {
+    let heard = peers
+        .values()
+        .filter(|peer| peer.is_heard(HOLDER_TIMEOUT, now));
+    heard.map(|peer| peer.lease_id).collect()
+}
+
 /// Closes a lease after the witnesses that settle it have fenced it. The largest mark of
 /// each team bounds what was spent.
 async fn settle_lease(shared: &ProcessContext, group: &Group, ended: SettlingLease) {
