gateway: tries of a departure that overlap wait for one log entry

An engine that was refused, or whose process asks a second time through a peer, had a second entry proposed while the first was about to be committed, and waited for its own. With disks that take 0.3 s for a sync, one try of 950 ms ended without an acknowledgement, though the first entry was committed within it.

Cause: only committed departures were looked for, not proposed ones, as it is done for configurations.

Measured: 20 overlapping tries write one entry.

--- a/crates/gateway/src/group.rs
+++ b/crates/gateway/src/group.rs
@@ -394,9 +394,30 @@
     term: u64,
     /// The version, if it proposes a configuration.
     config_version: Option<u64>,
+    /// The announcement, if it proposes to record a departure.
+    departure: Option<EngineAnnouncement>,
     replies: Vec<Reply>,
 }
 
+impl PendingProposal {
+    fn new(term: u64, command: &Command, reply: Reply) -> Self {
+        let config_version = match command {
+            Command::AcceptConfig { version, .. } => Some(*version),
+            _ => None,
+        };
+        let departure = match command {
+            Command::RecordDeparture(announcement) => Some(announcement.clone()),
+            _ => None,
+        };
+        Self {
+            term,
+            config_version,
+            departure,
+            replies: vec![reply],
+        }
+    }
+}
+
 /// What a read of the replicated state asks for.
 enum ReadTarget {
     ConfigVersion,
@@ -661,12 +682,19 @@
         self.propose(command, reply);
     }
 
-    /// Proposes to record a departure, unless it is committed: engines repeat it.
+    /// Proposes to record a departure, unless it is committed or proposed already: engines and
+    /// processes repeat it.
     fn record_departure(&mut self, announcement: EngineAnnouncement, reply: Reply) {
         if self.local.state.departures.covers(&announcement) {
             self.responses.push((reply, MeshResponse::Done));
             return;
         }
+        let mut pending = self.proposals.values_mut();
+        let is_same = |departure: &EngineAnnouncement| departure.covers(&announcement);
+        if let Some(same) = pending.find(|p| p.departure.as_ref().is_some_and(is_same)) {
+            same.replies.push(reply);
+            return;
+        }
         self.propose_order(&Command::RecordDeparture(announcement), reply);
     }
 
@@ -817,15 +845,7 @@
         match self.local.replica.propose(bytes) {
             Ok((position, effects)) => {
                 self.effects.merge(effects);
-                let config_version = match command {
-                    Command::AcceptConfig { version, .. } => Some(*version),
-                    _ => None,
-                };
-                let pending = PendingProposal {
-                    term: position.term,
-                    config_version,
-                    replies: vec![reply],
-                };
+                let pending = PendingProposal::new(position.term, command, reply);
                 self.proposals.insert(position.index, pending);
             }
             Err(_) => self.responses.push((reply, MeshResponse::Unavailable)),
--- a/crates/gateway/tests/departures.rs
+++ b/crates/gateway/tests/departures.rs
@@ -78,6 +78,22 @@
     stopped.recv().await.expect("stopped");
 }
 
+/// Returns the number of entries of the log in `folder` that record a departure.
+fn recorded_entries(folder: &Path) -> usize {
+    let (_, recovered) = LogStore::open(
+        &folder.join("log"),
+        Members::default(),
+        JournalOptions::default(),
+    )
+    .expect("readable");
+    let commands = recovered.log.entries_from(1).iter();
+    let departures = commands.filter(|entry| {
+        matches!(&entry.payload, Payload::Data(bytes)
+            if matches!(postcard::from_bytes(bytes), Ok(Command::RecordDeparture(_))))
+    });
+    departures.count()
+}
+
 /// Guards against an acknowledged departure that is gone after a restart, and against log entries
 /// for departures that engines repeat.
 #[test]
@@ -110,17 +126,31 @@
         assert_eq!(departed.recv().await, Ok(vec![departure(Phase::Gone)]));
         stop(&group).await;
     });
-    let (_, recovered) = LogStore::open(
-        &folder.join("log"),
-        Members::default(),
-        JournalOptions::default(),
-    )
-    .expect("readable");
-    let commands = recovered.log.entries_from(1).iter();
-    let departures = commands.filter(|entry| {
-        matches!(&entry.payload, Payload::Data(bytes)
-            if matches!(postcard::from_bytes(bytes), Ok(Command::RecordDeparture(_))))
+    assert_eq!(recorded_entries(&folder), 2);
+    fs::remove_dir_all(folder).expect("removed");
+}
+
+/// Guards against tries that wait for an entry each: on slow disks an engine's second try was
+/// refused as well, though the entry of its first was about to be committed.
+#[test]
+fn tries_that_overlap_wait_for_one_entry() {
+    let folder = std::env::temp_dir().join(format!("group-overlap-{}", std::process::id()));
+    let _ = fs::remove_dir_all(&folder);
+    block_on(async {
+        let (group, _departed) = open(&folder);
+        group.send(Input::FormGroup);
+        ask(&group, Input::ReadDepartures).await;
+        let tries = (0..20).map(|_| {
+            let (reply, answer) = async_channel::bounded(1);
+            group.send(Input::RecordDeparture(departure(Phase::Draining), reply));
+            answer
+        });
+        let tries: Vec<Receiver<MeshResponse>> = tries.collect();
+        for answer in tries {
+            assert_eq!(answer.recv().await, Ok(MeshResponse::Done));
+        }
+        stop(&group).await;
     });
-    assert_eq!(departures.count(), 2);
+    assert_eq!(recorded_entries(&folder), 1);
     fs::remove_dir_all(folder).expect("removed");
 }
--- a/crates/routing/src/departures.rs
+++ b/crates/routing/src/departures.rs
@@ -37,11 +37,6 @@
     engines: BTreeMap<String, Departure>,
 }
 
-/// The run and the phase of an announcement, in the order in which they replace each other.
-fn stage(announcement: &EngineAnnouncement) -> (u64, Phase) {
-    (announcement.started_ms, announcement.phase)
-}
-
 impl Departures {
     /// Records a departure that was committed at `at_ms`, and drops those that have expired.
     ///
@@ -74,7 +69,7 @@
     #[must_use]
     pub fn covers(&self, announcement: &EngineAnnouncement) -> bool {
         let known = self.engines.get(&announcement.id);
-        known.is_some_and(|known| stage(&known.announcement) >= stage(announcement))
+        known.is_some_and(|known| known.announcement.covers(announcement))
     }
 
     /// Returns the recorded departures.
--- a/crates/routing/src/directory.rs
+++ b/crates/routing/src/directory.rs
@@ -71,6 +71,14 @@
 }
 
 impl EngineAnnouncement {
+    /// Returns whether this tells what `other` does or something later of the same engine: the
+    /// phase of a run only advances, and a later run replaces an earlier one.
+    #[must_use]
+    pub fn covers(&self, other: &Self) -> bool {
+        let stage = |told: &Self| (told.started_ms, told.phase);
+        self.id == other.id && stage(self) >= stage(other)
+    }
+
     /// Returns until when the engine is cold, if the announcement was received at `at`.
     #[must_use]
     pub fn cold_until(&self, at: Time) -> Time {
