gateway: a test reopens a replica's folder once it is released

A replica answers that it has stopped before its thread ends and releases the folder. The test now reopens it once the lock is free; any other error fails as before, and what it asserts is unchanged.

--- a/crates/gateway/tests/departures.rs
+++ b/crates/gateway/tests/departures.rs
@@ -5,8 +5,10 @@
 use std::net::SocketAddrV4;
 use std::path::Path;
 use std::sync::Arc;
+use std::thread;
 
 use async_channel::Receiver;
+use async_channel::Sender;
 use consensus::Members;
 use consensus::Payload;
 use consensus::ReplacementPolicy;
@@ -14,6 +16,7 @@
 use fleet::mesh::MeshResponse;
 use futures_lite::future::block_on;
 use gateway::group::Group;
+use gateway::group::GroupError;
 use gateway::group::GroupOptions;
 use gateway::group::Input;
 use gateway::group::Output;
@@ -22,6 +25,7 @@
 use routing::directory::EngineAnnouncement;
 use routing::directory::Phase;
 use store::JournalOptions;
+use store::StoreError;
 
 fn departure(phase: Phase) -> EngineAnnouncement {
     EngineAnnouncement {
@@ -37,11 +41,21 @@
     }
 }
 
-/// Opens the only replica of a group in `folder`; the departures that it publishes are received
-/// from the channel.
+/// Opens the only replica of a group in `folder`, once an earlier one there has released it; the
+/// departures that it publishes are received from the channel.
 fn open(folder: &Path) -> (Group, Receiver<Vec<EngineAnnouncement>>) {
     let (sender, departed) = async_channel::unbounded();
-    let options = GroupOptions {
+    loop {
+        match Group::open(options(folder, sender.clone())) {
+            Ok(group) => return (group, departed),
+            Err(GroupError::Store(StoreError::Locked(_))) => thread::yield_now(),
+            Err(error) => panic!("{error}"),
+        }
+    }
+}
+
+fn options(folder: &Path, sender: Sender<Vec<EngineAnnouncement>>) -> GroupOptions {
+    GroupOptions {
         folder: folder.to_owned(),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         quota_bytes: 8 << 20,
@@ -56,8 +70,7 @@
                 sender.try_send(departures).expect("not closed");
             }
         }),
-    };
-    (Group::open(options).expect("opened"), departed)
+    }
 }
 
 async fn ask(group: &Group, input: impl Fn(Reply) -> Input) -> MeshResponse {
