--- a/crates/gateway/tests/departures.rs
+++ b/crates/gateway/tests/departures.rs
@@ -1,5 +1,6 @@
 //! Departures of engines in the replicated log of one replica.
 
+use std::collections::BTreeMap;
 use std::fs;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
@@ -9,9 +10,14 @@
 
 use async_channel::Receiver;
 use async_channel::Sender;
+use base::KeeperId;
+use consensus::Envelope;
 use consensus::Members;
+use consensus::Message;
 use consensus::Payload;
+use consensus::Position;
 use consensus::ReplacementPolicy;
+use consensus::Snapshot;
 use durable::LogStore;
 use fleet::mesh::MeshResponse;
 use futures_lite::future::block_on;
@@ -22,6 +28,7 @@
 use gateway::group::Output;
 use gateway::group::Reply;
 use gateway::replicated_state::Command;
+use gateway::replicated_state::ReplicatedState;
 use routing::directory::EngineAnnouncement;
 use routing::directory::Phase;
 use store::JournalOptions;
@@ -91,20 +98,44 @@
     stopped.recv().await.expect("stopped");
 }
 
-/// Returns the number of entries of the log in `folder` that record a departure.
-fn recorded_entries(folder: &Path) -> usize {
+/// Returns the time of each entry of the log in `folder` that records a departure, in
+/// milliseconds.
+fn recorded_times(folder: &Path) -> Vec<u64> {
     let (_, recovered) = LogStore::open(
         &folder.join("log"),
         Members::default(),
         JournalOptions::default(),
     )
     .expect("readable");
-    let commands = recovered.log.entries_from(1).iter();
+    let first = recovered.log.snapshot().position.index + 1;
+    let commands = recovered.log.entries_from(first).iter();
     let departures = commands.filter(|entry| {
         matches!(&entry.payload, Payload::Data(bytes)
             if matches!(postcard::from_bytes(bytes), Ok(Command::RecordDeparture(_))))
     });
-    departures.count()
+    departures.map(|entry| entry.time_ms).collect()
+}
+
+/// Returns the snapshot of a log of which `group` is the only member that is left.
+fn joined_log(group: &Group, time_ms: u64) -> Envelope {
+    let members = Members {
+        voters: BTreeMap::from([(group.id(), group.disk())]),
+        ..Members::default()
+    };
+    let state = postcard::to_stdvec(&ReplicatedState::default()).expect("encodable");
+    let snapshot = Snapshot {
+        position: Position { index: 9, term: 1 },
+        time_ms,
+        members,
+        data: Arc::new(state),
+    };
+    Envelope {
+        from: KeeperId(77),
+        disk: 77,
+        to: group.id(),
+        term: 1,
+        message: Message::InstallSnapshot { snapshot, round: 1 },
+    }
 }
 
 /// Guards against an acknowledged departure that is gone after a restart, and against log entries
@@ -139,7 +170,7 @@
         assert_eq!(departed.recv().await, Ok(vec![departure(Phase::Gone)]));
         stop(&group).await;
     });
-    assert_eq!(recorded_entries(&folder), 2);
+    assert_eq!(recorded_times(&folder).len(), 2);
     fs::remove_dir_all(folder).expect("removed");
 }
 
@@ -164,6 +195,26 @@
         }
         stop(&group).await;
     });
-    assert_eq!(recorded_entries(&folder), 1);
+    assert_eq!(recorded_times(&folder).len(), 1);
+    fs::remove_dir_all(folder).expect("removed");
+}
+
+/// Guards against departures that are kept for as long as the log is older than the replica that
+/// leads: its entries all had the time of the last one that it was sent.
+#[test]
+fn departures_age_while_a_replica_leads_that_joined_late() {
+    const JOINED_MS: u64 = 1_000_000;
+    let folder = std::env::temp_dir().join(format!("group-late-{}", std::process::id()));
+    let _ = fs::remove_dir_all(&folder);
+    block_on(async {
+        let (group, _departed) = open(&folder);
+        group.send(Input::Messages(vec![joined_log(&group, JOINED_MS)]));
+        let record = |reply| Input::RecordDeparture(departure(Phase::Draining), reply);
+        assert_eq!(ask(&group, record).await, MeshResponse::Done);
+        stop(&group).await;
+    });
+    let times = recorded_times(&folder);
+    // It waits for a leader before it leads itself.
+    assert!(times.len() == 1 && times[0] > JOINED_MS, "{times:?}");
     fs::remove_dir_all(folder).expect("removed");
 }
